--- /dev/null
+++ b/Source/backend_chooser.cpp
@@ -0,0 +1,120 @@
+#include "backend_chooser.h"
+
+#include <algorithm>
+
+namespace cyclamen {
+
+std::vector<backend*> backend_chooser::order(const pool_state& pool, const backend_wish& wish,
+                                             millis now) const
+{
+    if (!wish.prompt) {
+        std::vector<backend*> ordered = pool.servers;
+        std::stable_sort(ordered.begin(), ordered.end(), [&](const backend* left,
+                                                             const backend* right) {
+            const auto cost = [&](const backend* server) {
+                return server->load(now) +
+                       (server->entry.zone == options_.zone ? 0 : options_.local_lead);
+            };
+            return cost(left) < cost(right);
+        });
+        return ordered;
+    }
+    std::vector<placement_candidate> candidates;
+    candidates.reserve(pool.servers.size());
+    for (std::uint32_t index = 0; index < pool.servers.size(); ++index) {
+        candidates.push_back({.hash = pool.servers[index]->hash, .index = index});
+    }
+    std::vector<backend*> ordered;
+    std::vector<bool> placed(pool.servers.size(), false);
+    for (const std::uint32_t index :
+         rank_engines({.prefix = *wish.prompt}, candidates, 1, candidates.size())) {
+        ordered.push_back(pool.servers[index]);
+        placed[index] = true;
+    }
+    for (std::size_t index = 0; index < placed.size(); ++index) {
+        if (!placed[index]) {
+            ordered.push_back(pool.servers[index]);
+        }
+    }
+    return ordered;
+}
+
+bool backend_chooser::admits_cold(backend& server, const relay_service& service, millis now) const
+{
+    if (service.cold_starts_per_second <= 0 || !server.cold(now)) {
+        return true;
+    }
+    constexpr double one_at_a_time = 1;
+    server.cold_starts.set_rate(
+        options_.cold_share * service.cold_starts_per_second / entries_, one_at_a_time);
+    return server.cold_starts.allows(now);
+}
+
+backend_choice backend_chooser::choose(backend_table& table, const relay_service& service,
+                                       const backend_wish& wish, millis now)
+{
+    pool_state pool;
+    pool.servers = table.usable(service.name);
+    backend_choice choice;
+    choice.pool = static_cast<unsigned>(pool.servers.size());
+    if (pool.servers.empty()) {
+        return choice;
+    }
+    double load = 0;
+    double bad = 0;
+    double ends = 0;
+    for (const backend* server : pool.servers) {
+        load += server->load(now);
+        bad += server->health.bad(now);
+        ends += server->health.bad(now) + server->health.good(now);
+    }
+    pool.mean = load / static_cast<double>(pool.servers.size());
+    pool.bad_share = ends > 0 ? bad / ends : 0;
+    choice.mean = pool.mean;
+    const double bound = options_.load_multiple * pool.mean + options_.load_margin;
+
+    // Servers under suspicion, or over the bound, are better than none.
+    backend* spare = nullptr;
+    unsigned spare_rank = 0;
+    unsigned rank = 0;
+    choice.reason = "all_tried";
+    for (backend* server : order(pool, wish, now)) {
+        ++rank;
+        if (wish.tried != nullptr && wish.tried->contains(server->entry.id)) {
+            continue;
+        }
+        if (server->health.paused(now)) {
+            choice.reason = "unreachable";
+            continue;
+        }
+        if (!admits_cold(*server, service, now)) {
+            choice.reason = "cold";
+            continue;
+        }
+        const unsigned held = server->load(now);
+        if (held + 1 > bound || server->health.suspected(pool.bad_share, now)) {
+            if (spare == nullptr || held < spare->load(now)) {
+                spare = server;
+                spare_rank = rank;
+            }
+            continue;
+        }
+        choice.server = server;
+        choice.rank = rank;
+        choice.load = held;
+        choice.reason = "chosen";
+        break;
+    }
+    if (choice.server == nullptr && spare != nullptr) {
+        choice.server = spare;
+        choice.rank = spare_rank;
+        choice.load = spare->load(now);
+        choice.reason = "spare";
+    }
+    if (choice.server != nullptr && service.cold_starts_per_second > 0 && choice.server->cold(now)) {
+        choice.server->cold_starts.take(now);
+    }
+    return choice;
+}
+
+} // namespace cyclamen
--- /dev/null
+++ b/Source/backend_chooser.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "backend_table.h"
+#include "placement.h"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cyclamen {
+
+struct backend_chooser_options {
+    std::string zone;           // of this entry
+    double load_multiple = 2.0; // of the pool's mean that a server may hold
+    double load_margin = 2.0;   // requests that it may hold beyond that
+    unsigned local_lead = 2;    // requests by which a server in another zone has to be freer
+    double cold_share = 0.8;    // of what a cold server bears, given out by all entries
+};
+
+/// What the choice of a backend server depends on.
+struct backend_wish {
+    std::string service;
+    std::optional<std::uint64_t> prompt; // hash of the part of the prompt to look for
+    const std::set<std::string>* tried = nullptr; // ids that are not to be chosen again
+};
+
+/// The server that was chosen, and what decided it.
+struct backend_choice {
+    backend* server = nullptr; // none: see `reason`
+    std::string_view reason = "none_listed";
+    unsigned rank = 0; // place in the prompt's order
+    unsigned load = 0;
+    double mean = 0;   // over the pool
+    unsigned pool = 0; // servers that may be given requests
+};
+
+/// Chooses the backend server for a request.  Requests with a prompt go to the server
+/// that is first in the order of their prompt and below the load bound; others to the
+/// least loaded, those of the own zone first.
+class backend_chooser {
+public:
+    explicit backend_chooser(backend_chooser_options options) : options_(std::move(options)) {}
+
+    /// Entries among which the limits of a cold server are shared.
+    void set_entries(unsigned entries) { entries_ = std::max(1U, entries); }
+
+    backend_choice choose(backend_table& table, const relay_service& service,
+                          const backend_wish& wish, millis now);
+
+private:
+    struct pool_state {
+        std::vector<backend*> servers;
+        double mean = 0;
+        double bad_share = 0;
+    };
+
+    std::vector<backend*> order(const pool_state& pool, const backend_wish& wish, millis now) const;
+    bool admits_cold(backend& server, const relay_service& service, millis now) const;
+
+    backend_chooser_options options_;
+    unsigned entries_ = 1;
+};
+
+} // namespace cyclamen
--- /dev/null
+++ b/Source/backend_health.cpp
@@ -0,0 +1,49 @@
+#include "backend_health.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cyclamen {
+
+double backend_health::decay(millis now) const
+{
+    const auto age = std::chrono::duration<double>(now - at_) / options_.half_life;
+    return std::exp2(-age);
+}
+
+void backend_health::settle(millis now)
+{
+    const double factor = decay(now);
+    good_ *= factor;
+    bad_ *= factor;
+    at_ = now;
+}
+
+void backend_health::unreachable(millis now)
+{
+    constexpr unsigned most_doublings = 8;
+    const millis pause = options_.first_pause * (1U << std::min(failures_, most_doublings));
+    ++failures_;
+    paused_until_ = now + std::min(pause, options_.most_pause);
+}
+
+void backend_health::ended(backend_outcome outcome, millis now)
+{
+    settle(now);
+    if (outcome == backend_outcome::good) {
+        good_ += 1;
+        failures_ = 0;
+        paused_until_ = 0ms;
+        return;
+    }
+    bad_ += 1;
+}
+
+bool backend_health::suspected(double pool_share, millis now) const
+{
+    const double failed = bad(now);
+    const double all = failed + good(now);
+    return failed >= options_.least_bad && failed / all > 2 * pool_share + options_.margin;
+}
+
+} // namespace cyclamen
--- /dev/null
+++ b/Source/backend_table.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "backend_health.h"
+#include "relay_configuration.h"
+#include "start_rate_limit.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cyclamen {
+
+/// What a backend server said of its load beside an answer.
+struct backend_load {
+    unsigned running = 0;
+    unsigned waiting = 0;
+    unsigned slots = 0;
+};
+
+/// One backend server as this entry knows it.
+struct backend {
+    backend_entry entry;
+    std::uint64_t hash = 0; // of its id, for placement
+    millis listed_at{0};    // when its entry was last read
+    millis cold_until{0};
+    bool missing = false;   // its entry lapsed while the source was away
+    unsigned in_flight = 0; // requests of this entry
+    unsigned elsewhere = 0; // requests of other entries, as they last told
+    backend_load reported;
+    unsigned own_when_reported = 0; // requests of this entry then
+    millis reported_at{-1000000};   // long ago: nothing was reported yet
+    backend_health health;
+    start_rate_limit cold_starts;
+
+    /// Requests that it holds, as far as is known.
+    unsigned load(millis now) const;
+    bool cold(millis now) const { return now < cold_until; }
+};
+
+struct backend_table_options {
+    millis return_grace = 2300ms;  // for entries that lapsed while the source was away
+    millis cold_slack = 300ms;     // added to what a server says of its cold start
+    millis suspicion = 2500ms;     // a server that was unreachable counts as cold so long
+    millis report_lifetime = 1000ms; // older reports of load are not used
+};
+
+/// All backend servers that are known, and which of them may be given requests.  No
+/// clock: every call carries the time.
+class backend_table {
+public:
+    explicit backend_table(backend_table_options options = {}) : options_(options) {}
+
+    /// Takes an entry; false if it is older than what is known.
+    bool put(const backend_entry& entry, millis now);
+    /// The entry of `id` is not there any more.
+    void drop(const std::string& id, millis now);
+    /// The zones that operators have taken out.
+    void set_zones_out(std::set<std::string> zones) { zones_out_ = std::move(zones); }
+    const std::set<std::string>& zones_out() const { return zones_out_; }
+    /// The source of entries does not answer; what is known stays in use.
+    void source_lost() { source_away_ = true; }
+    void source_regained(millis now);
+    /// Gives up what is still missing after the grace.
+    void sweep(millis now);
+
+    backend* find(const std::string& id);
+    /// The servers of `service` that may be given requests, in order of id.
+    std::vector<backend*> usable(const std::string& service);
+    void unreachable(backend& server, millis now);
+    void note_load(backend& server, const backend_load& load, millis now);
+
+    const std::map<std::string, std::unique_ptr<backend>>& all() const { return servers_; }
+
+private:
+    backend_table_options options_;
+    std::map<std::string, std::unique_ptr<backend>> servers_; // by id
+    std::set<std::string> zones_out_;
+    bool source_away_ = false;
+    millis grace_until_{0};
+};
+
+} // namespace cyclamen
--- a/Source/event_log.cpp
+++ b/Source/event_log.cpp
@@ -3,14 +3,107 @@
 #include <fmt/chrono.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <chrono>
-#include <cstdio>
+#include <iterator>
+#include <poll.h>
+#include <unistd.h>
+#include <utility>
 
 namespace cyclamen {
 
-const std::array<event_description, 24>& event_catalogue()
+namespace {
+
+// At most this many bytes go out in one write, which a pipe takes whole or not at all.
+constexpr std::size_t atomic_write = 4096;
+
+class log_output {
+public:
+    static log_output& instance()
+    {
+        static log_output output;
+        return output;
+    }
+
+    void configure(bool buffered, event_log_limits limits)
+    {
+        buffered_ = buffered;
+        limits_ = limits;
+        allowance_ = limits.burst;
+    }
+
+    void add(const event_description& row, std::string_view fields)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const double passed = std::chrono::duration<double>(now - refilled_at_).count();
+        allowance_ = std::min(limits_.burst, allowance_ + passed * limits_.lines_per_second);
+        refilled_at_ = now;
+        const bool over = (row.level == severity::info && allowance_ < 1) ||
+                          text_.size() > limits_.most_buffered;
+        if (over) {
+            ++dropped_;
+            return;
+        }
+        if (row.level == severity::info) {
+            allowance_ -= 1;
+        }
+        if (dropped_ > 0) {
+            const std::uint64_t count = std::exchange(dropped_, 0);
+            append(severity::warning, event_id::log_lines_dropped, "log_lines_dropped",
+                   fmt::format("count={}", count));
+        }
+        append(row.level, row.id, row.name, fields);
+        if (!buffered_ || row.level != severity::info || text_.size() >= atomic_write) {
+            flush();
+        }
+    }
+
+    void flush()
+    {
+        std::size_t done = 0;
+        while (done < text_.size()) {
+            pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+            if (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0) {
+                break;
+            }
+            const std::size_t part = std::min(atomic_write, text_.size() - done);
+            const ssize_t written = ::write(STDOUT_FILENO, text_.data() + done, part);
+            if (written <= 0) {
+                break;
+            }
+            done += static_cast<std::size_t>(written);
+        }
+        text_.erase(0, done);
+    }
+
+    ~log_output() { flush(); }
+    log_output(const log_output&) = delete;
+    log_output& operator=(const log_output&) = delete;
+
+private:
+    log_output() = default;
+
+    void append(severity level, event_id id, std::string_view name, std::string_view fields)
+    {
+        const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now());
+        fmt::format_to(std::back_inserter(text_), "{:%Y-%m-%dT%H:%M:%S}Z {} {} {} {}\n", now,
+                       name_of(severity_names, level), static_cast<int>(id), name, fields);
+    }
+
+    event_log_limits limits_;
+    bool buffered_ = false;
+    double allowance_ = event_log_limits{}.burst;
+    std::chrono::steady_clock::time_point refilled_at_ = std::chrono::steady_clock::now();
+    std::uint64_t dropped_ = 0;
+    std::string text_;
+};
+
+} // namespace
+
+const std::array<event_description, event_count>& event_catalogue()
 {
-    static constexpr std::array<event_description, 24> catalogue{{
+    static constexpr std::array<event_description, event_count> catalogue{{
         {event_id::process_started, severity::info, "process_started"},
         {event_id::process_stopping, severity::info, "process_stopping"},
         {event_id::process_stopped, severity::info, "process_stopped"},
@@ -35,6 +128,27 @@
         {event_id::backend_cold, severity::info, "backend_cold"},
         {event_id::backend_warm, severity::info, "backend_warm"},
         {event_id::credential_refused, severity::warning, "credential_refused"},
+        {event_id::request_refused, severity::info, "request_refused"},
+        {event_id::backend_chosen, severity::info, "backend_chosen"},
+        {event_id::attempt_failed, severity::info, "attempt_failed"},
+        {event_id::request_ended, severity::info, "request_ended"},
+        {event_id::stray_answer, severity::warning, "stray_answer"},
+        {event_id::request_unreadable, severity::info, "request_unreadable"},
+        {event_id::configuration_taken, severity::info, "configuration_taken"},
+        {event_id::backend_listed, severity::info, "backend_listed"},
+        {event_id::backend_gone, severity::info, "backend_gone"},
+        {event_id::zones_out_changed, severity::info, "zones_out_changed"},
+        {event_id::knowledge_complete, severity::info, "knowledge_complete"},
+        {event_id::source_lost, severity::warning, "source_lost"},
+        {event_id::source_regained, severity::info, "source_regained"},
+        {event_id::record_unreadable, severity::warning, "record_unreadable"},
+        {event_id::settings_reloaded, severity::info, "settings_reloaded"},
+        {event_id::settings_unreadable, severity::error, "settings_unreadable"},
+        {event_id::readiness_changed, severity::info, "readiness_changed"},
+        {event_id::log_lines_dropped, severity::warning, "log_lines_dropped"},
+        {event_id::records_resynchronised, severity::info, "records_resynchronised"},
+        {event_id::peer_heard, severity::info, "peer_heard"},
+        {event_id::peer_silent, severity::warning, "peer_silent"},
     }};
     return catalogue;
 }
@@ -44,12 +158,21 @@
     const auto& catalogue = event_catalogue();
     const auto* found = std::find_if(catalogue.begin(), catalogue.end(),
                                      [&](const event_description& row) { return row.id == id; });
-    const auto now =
-        std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-    const auto level = found == catalogue.end() ? severity::error : found->level;
-    const auto name = found == catalogue.end() ? std::string_view("?") : found->name;
-    fmt::print(stderr, "{:%Y-%m-%dT%H:%M:%S}Z {} {} {} {}\n", now, name_of(severity_names, level),
-               static_cast<int>(id), name, fields);
+    if (found == catalogue.end()) {
+        log_output::instance().add({id, severity::error, "?"}, fields);
+        return;
+    }
+    log_output::instance().add(*found, fields);
+}
+
+void flush_events()
+{
+    log_output::instance().flush();
+}
+
+void buffer_events(bool buffered, event_log_limits limits)
+{
+    log_output::instance().configure(buffered, limits);
 }
 
 } // namespace cyclamen
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -45,6 +45,27 @@
     backend_cold = 1501,
     backend_warm = 1502,
     credential_refused = 1601,
+    request_refused = 1701,
+    backend_chosen = 1702,
+    attempt_failed = 1703,
+    request_ended = 1704,
+    stray_answer = 1705,
+    request_unreadable = 1706,
+    configuration_taken = 1801,
+    backend_listed = 1802,
+    backend_gone = 1803,
+    zones_out_changed = 1804,
+    knowledge_complete = 1805,
+    source_lost = 1806,
+    source_regained = 1807,
+    record_unreadable = 1808,
+    settings_reloaded = 1809,
+    settings_unreadable = 1810,
+    readiness_changed = 1811,
+    log_lines_dropped = 1812,
+    records_resynchronised = 1813,
+    peer_heard = 1814,
+    peer_silent = 1815,
 };
 
 /// Catalogue entry of an event.
@@ -54,12 +75,28 @@
     std::string_view name;
 };
 
+inline constexpr std::size_t event_count = 45;
+
 /// Catalogue of all events, in order of number.
-const std::array<event_description, 24>& event_catalogue();
+const std::array<event_description, event_count>& event_catalogue();
+
+/// Bounds what the log may cost, so that a process under load never waits for it.
+struct event_log_limits {
+    double lines_per_second = 400; // of severity info; the rest is always written
+    double burst = 1200;           // of such lines
+    std::size_t most_buffered = 262144; // bytes that wait for a slow reader
+};
 
-/// Writes one line to standard error: time, severity, number, name, `fields`.
+/// Adds one line for standard output: time, severity, number, name, `fields`.  Lines over
+/// the limits are left out and counted; a later line 1812 tells how many.
 void write_event(event_id id, std::string_view fields);
 
+/// Writes what the reader of standard output takes without blocking.
+void flush_events();
+
+/// With buffering on, lines wait for `flush_events` unless they are many.
+void buffer_events(bool buffered, event_log_limits limits = {});
+
 /// Logs an event with fields in `key=value` form, formatted by fmt.
 template <typename... Args>
 void log_event(event_id id, fmt::format_string<Args...> format, Args&&... args)
--- /dev/null
+++ b/Source/event_stream_cutter.cpp
@@ -0,0 +1,52 @@
+#include "event_stream_cutter.h"
+
+#include <algorithm>
+
+namespace cyclamen {
+
+namespace {
+
+// The end of the last empty line, where an event is complete; 0 if there is none.
+std::size_t end_of_events(std::string_view text)
+{
+    const std::size_t unix_end = text.rfind("\n\n");
+    const std::size_t dos_end = text.rfind("\r\n\r\n");
+    const std::size_t after_unix = unix_end == std::string_view::npos ? 0 : unix_end + 2;
+    const std::size_t after_dos = dos_end == std::string_view::npos ? 0 : dos_end + 4;
+    return std::max(after_unix, after_dos);
+}
+
+std::string_view without_blank(std::string_view text)
+{
+    return text.starts_with(' ') ? text.substr(1) : text;
+}
+
+} // namespace
+
+std::string_view event_stream_cutter::feed(std::string_view data)
+{
+    partial_.append(data);
+    const std::size_t end = end_of_events(partial_);
+    whole_.assign(partial_, 0, end);
+    partial_.erase(0, end);
+    note_ids(whole_);
+    return whole_;
+}
+
+void event_stream_cutter::note_ids(std::string_view events)
+{
+    constexpr std::string_view field = "id:";
+    while (!events.empty()) {
+        const std::size_t end = std::min(events.find('\n'), events.size());
+        std::string_view line = events.substr(0, end);
+        events.remove_prefix(std::min(end + 1, events.size()));
+        if (line.ends_with('\r')) {
+            line.remove_suffix(1);
+        }
+        if (line.starts_with(field)) {
+            last_id_ = without_blank(line.substr(field.size()));
+        }
+    }
+}
+
+} // namespace cyclamen
--- a/Source/http_client.cpp
+++ b/Source/http_client.cpp
@@ -1,162 +1,110 @@
 #include "http_client.h"
 
-#include "http_server.h"
-
-#include <event2/buffer.h>
 #include <event2/event.h>
-#include <event2/http.h>
-#include <fmt/format.h>
 
 namespace cyclamen {
 
 namespace {
 
-evhttp_cmd_type command_of(const std::string& method)
+timeval to_timeval(millis interval)
 {
-    if (method == "POST") {
-        return EVHTTP_REQ_POST;
-    }
-    if (method == "PUT") {
-        return EVHTTP_REQ_PUT;
-    }
-    if (method == "DELETE") {
-        return EVHTTP_REQ_DELETE;
-    }
-    if (method == "PATCH") {
-        return EVHTTP_REQ_PATCH;
-    }
-    if (method == "HEAD") {
-        return EVHTTP_REQ_HEAD;
-    }
-    return EVHTTP_REQ_GET;
+    return {.tv_sec = interval.count() / 1000, .tv_usec = (interval.count() % 1000) * 1000};
 }
 
-timeval to_timeval(millis interval)
+http_head head_of(const http_client_request& request)
 {
-    return {.tv_sec = interval.count() / 1000, .tv_usec = (interval.count() % 1000) * 1000};
+    http_head head;
+    head.method = request.method;
+    head.target = request.target;
+    head.headers = request.headers;
+    head.add("Host", request.server.text());
+    head.add("Connection", "close");
+    if (!request.content_type.empty()) {
+        head.add("Content-Type", request.content_type);
+    }
+    if (!request.body.empty() || request.method == "POST" || request.method == "PUT" ||
+        request.method == "PATCH") {
+        head.length = request.body.size();
+    }
+    return head;
 }
 
 } // namespace
 
-// Outlives the call until libevent has let go of the request.
 struct http_call::state {
-    event_base* loop = nullptr;
+    client_connection connection;
     handlers receivers;
-    evhttp_connection* connection = nullptr;
-    evhttp_request* request = nullptr;
-    bool failed = false;
-    std::shared_ptr<state> self;
-
-    static void on_headers_read(evhttp_request* request, state& call)
-    {
-        const char* type =
-            evhttp_find_header(evhttp_request_get_input_headers(request), "Content-Type");
-        if (call.receivers.on_head) {
-            call.receivers.on_head(evhttp_request_get_response_code(request),
-                                   type == nullptr ? "" : type);
-        }
-    }
+    millis silence;
+    event* silence_timer = nullptr;
 
-    static int header_cb(evhttp_request* request, void* user)
+    state(event_base* loop, const http_client_request& request, handlers hooks)
+        : connection(loop, request.server, {.connect_timeout = request.timeout}),
+          receivers(std::move(hooks)), silence(request.timeout),
+          silence_timer(event_new(loop, -1, 0, &state::fell_silent, this))
     {
-        on_headers_read(request, *static_cast<state*>(user));
-        return 0;
     }
+    state(const state&) = delete;
+    state& operator=(const state&) = delete;
+    ~state() { event_free(silence_timer); }
 
-    static void chunk_cb(evhttp_request* request, void* user)
+    void rearm() const
     {
-        auto& call = *static_cast<state*>(user);
-        const std::shared_ptr<state> hold = call.self;
-        evbuffer* input = evhttp_request_get_input_buffer(request);
-        const std::size_t length = evbuffer_get_length(input);
-        if (length == 0 || !call.receivers.on_data) {
-            return;
-        }
-        const std::string data(reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), length);
-        evbuffer_drain(input, length);
-        call.receivers.on_data(data);
+        const timeval delay = to_timeval(silence);
+        event_add(silence_timer, &delay);
     }
 
-    static void error_cb(evhttp_request_error /*error*/, void* user)
+    static void fell_silent(evutil_socket_t /*socket*/, short /*what*/, void* user)
     {
-        static_cast<state*>(user)->failed = true;
+        auto* self = static_cast<state*>(user);
+        self->connection.abandon();
+        self->finish(http_end::lost);
     }
 
-    static void done_cb(evhttp_request* request, void* user)
+    void finish(http_end end)
     {
-        auto& call = *static_cast<state*>(user);
-        const std::shared_ptr<state> hold = std::move(call.self);
-        call.request = nullptr;
-        if (!call.receivers.on_end) {
-            return;
-        }
-        http_end end = http_end::complete;
-        if (request == nullptr || call.failed) {
-            end = http_end::lost;
+        event_del(silence_timer);
+        const handlers told = std::move(receivers);
+        receivers = {};
+        if (told.on_end) {
+            told.on_end(end);
         }
-        else if (evhttp_request_get_response_code(request) == 0) {
-            end = http_end::not_sent;
-        }
-        else {
-            chunk_cb(request, user); // a body that came whole with the headers
-        }
-        const auto on_end = std::move(call.receivers.on_end);
-        call.receivers = handlers{};
-        on_end(end);
-    }
-
-    // A connection cannot be freed in a callback of its own.
-    static void free_later(event_base* loop, evhttp_connection* connection)
-    {
-        event_base_once(
-            loop, -1, EV_TIMEOUT,
-            [](evutil_socket_t /*socket*/, short /*what*/, void* user) {
-                evhttp_connection_free(static_cast<evhttp_connection*>(user));
-            },
-            connection, nullptr);
     }
 };
 
 http_call::http_call(event_base* loop, const http_client_request& request, handlers receivers)
-    : state_(std::make_shared<state>())
+    : state_(std::make_shared<state>(loop, request, std::move(receivers)))
 {
-    state_->loop = loop;
-    state_->receivers = std::move(receivers);
-    state_->connection =
-        evhttp_connection_base_new(loop, nullptr, request.server.host.c_str(), request.server.port);
-    const timeval timeout = to_timeval(request.timeout);
-    evhttp_connection_set_timeout_tv(state_->connection, &timeout);
-    state_->request = evhttp_request_new(&state::done_cb, state_.get());
-    evhttp_request_set_header_cb(state_->request, &state::header_cb);
-    evhttp_request_set_chunked_cb(state_->request, &state::chunk_cb);
-    evhttp_request_set_error_cb(state_->request, &state::error_cb);
-    evkeyvalq* headers = evhttp_request_get_output_headers(state_->request);
-    evhttp_add_header(headers, "Host", request.server.text().c_str());
-    evhttp_add_header(headers, "Connection", "close");
-    if (!request.content_type.empty()) {
-        evhttp_add_header(headers, "Content-Type", request.content_type.c_str());
-    }
-    for (const http_header& row : request.headers) {
-        evhttp_add_header(headers, row.name.c_str(), row.value.c_str());
-    }
-    if (!request.body.empty()) {
-        evbuffer_add(evhttp_request_get_output_buffer(state_->request), request.body.data(),
-                     request.body.size());
-    }
-    state_->self = state_;
-    evhttp_make_request(state_->connection, state_->request, command_of(request.method),
-                        request.target.c_str());
+    state_->rearm();
+    state* self = state_.get();
+    self->connection.call(
+        head_of(request), request.body,
+        {.on_head =
+             [self](const http_head& head) {
+                 self->rearm();
+                 if (self->receivers.on_head) {
+                     self->receivers.on_head(head.status,
+                                             std::string(head.header_or("Content-Type", "")));
+                 }
+                 return true;
+             },
+         .on_body =
+             [self](std::string_view data) {
+                 self->rearm();
+                 if (self->receivers.on_data) {
+                     self->receivers.on_data(data);
+                 }
+             },
+         .on_end =
+             [hold = std::weak_ptr<state>(state_)](http_end end) {
+                 if (const std::shared_ptr<state> kept = hold.lock()) {
+                     kept->finish(end);
+                 }
+             }});
 }
 
 http_call::~http_call()
 {
-    state_->receivers = handlers{};
-    if (state_->request != nullptr) {
-        evhttp_cancel_request(state_->request);
-        state_->request = nullptr;
-    }
-    state_->self.reset();
-    state::free_later(state_->loop, state_->connection);
+    state_->receivers = {};
 }
 
 namespace {
--- a/Source/http_client.h
+++ b/Source/http_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "client_connection.h"
 #include "net_address.h"
 #include "time_types.h"
 
@@ -13,8 +14,6 @@
 
 namespace cyclamen {
 
-struct http_header;
-
 /// A request to another server.
 struct http_client_request {
     net_address server;
@@ -26,13 +25,6 @@
     millis timeout = 5000ms; // without any byte sent or received
 };
 
-/// How a call ended.
-enum class http_end {
-    complete,
-    not_sent, // no connection came up: the server cannot have seen the request
-    lost,     // the connection ended, or fell silent, before the answer was whole
-};
-
 /// An answer that was collected whole.
 struct http_answer {
     http_end end = http_end::lost;
--- /dev/null
+++ b/Source/http_message.cpp
@@ -0,0 +1,139 @@
+#include "http_message.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <strings.h>
+
+namespace cyclamen {
+
+namespace {
+
+constexpr std::array<std::string_view, 9> connection_headers{
+    "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "TE",
+    "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length"};
+
+std::string_view trimmed(std::string_view text)
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
+template <typename Names>
+bool lists(const Names& names, std::string_view name)
+{
+    return std::any_of(names.begin(), names.end(),
+                       [&](const auto& other) { return same_name(other, name); });
+}
+
+std::vector<std::string> named_by_connection(const http_head& head)
+{
+    std::vector<std::string> names;
+    for (const http_header& row : head.headers) {
+        if (!same_name(row.name, "Connection")) {
+            continue;
+        }
+        std::string_view rest = row.value;
+        while (!rest.empty()) {
+            const std::size_t comma = std::min(rest.find(','), rest.size());
+            names.emplace_back(trimmed(rest.substr(0, comma)));
+            rest.remove_prefix(std::min(comma + 1, rest.size()));
+        }
+    }
+    return names;
+}
+
+void append_headers(fmt::memory_buffer& text, const http_head& head)
+{
+    for (const http_header& row : head.headers) {
+        fmt::format_to(std::back_inserter(text), "{}: {}\r\n", row.name, row.value);
+    }
+    if (head.chunked) {
+        fmt::format_to(std::back_inserter(text), "Transfer-Encoding: chunked\r\n");
+    }
+    else if (head.length) {
+        fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n", *head.length);
+    }
+    fmt::format_to(std::back_inserter(text), "\r\n");
+}
+
+} // namespace
+
+bool same_name(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() &&
+           strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
+std::optional<std::string_view> http_head::header(std::string_view name) const
+{
+    for (const http_header& row : headers) {
+        if (same_name(row.name, name)) {
+            return row.value;
+        }
+    }
+    return std::nullopt;
+}
+
+std::string_view http_head::header_or(std::string_view name, std::string_view fallback) const
+{
+    return header(name).value_or(fallback);
+}
+
+void http_head::add(std::string name, std::string value)
+{
+    headers.push_back({std::move(name), std::move(value)});
+}
+
+void http_head::set(std::string_view name, std::string value)
+{
+    remove(name);
+    add(std::string(name), std::move(value));
+}
+
+void http_head::remove(std::string_view name)
+{
+    std::erase_if(headers, [&](const http_header& row) { return same_name(row.name, name); });
+}
+
+std::string_view http_head::path() const
+{
+    const std::string_view whole = target;
+    return whole.substr(0, whole.find('?'));
+}
+
+void remove_connection_headers(http_head& head, const std::vector<std::string>& kept)
+{
+    const std::vector<std::string> named = named_by_connection(head);
+    std::erase_if(head.headers, [&](const http_header& row) {
+        if (lists(connection_headers, row.name)) {
+            return true;
+        }
+        return lists(named, row.name) && !lists(kept, row.name);
+    });
+}
+
+std::string request_text(const http_head& head)
+{
+    fmt::memory_buffer text;
+    fmt::format_to(std::back_inserter(text), "{} {} HTTP/1.1\r\n", head.method, head.target);
+    append_headers(text, head);
+    return fmt::to_string(text);
+}
+
+std::string answer_text(const http_head& head)
+{
+    fmt::memory_buffer text;
+    fmt::format_to(std::back_inserter(text), "HTTP/1.1 {} {}\r\n", head.status, head.reason);
+    append_headers(text, head);
+    return fmt::to_string(text);
+}
+
+} // namespace cyclamen
--- /dev/null
+++ b/Source/http_reader.cpp
@@ -0,0 +1,264 @@
+#include "http_reader.h"
+
+#include <http_parser.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace cyclamen {
+
+namespace {
+
+// tchar of RFC 9110, 5.6.2.  The parser itself lets blanks through.
+bool is_token(std::string_view name)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !name.empty() && std::all_of(name.begin(), name.end(), [&](char letter) {
+        return std::isalnum(static_cast<unsigned char>(letter)) != 0 ||
+               marks.find(letter) != std::string_view::npos;
+    });
+}
+
+bool is_field_value(std::string_view value)
+{
+    return std::none_of(value.begin(), value.end(), [](char letter) {
+        const auto code = static_cast<unsigned char>(letter);
+        return (code < 0x20 && letter != '\t') || code == 0x7f;
+    });
+}
+
+constexpr int skip_body = 1;
+
+} // namespace
+
+struct http_reader::state {
+    http_parser parser{};
+    http_side side;
+    handlers receivers;
+    http_reader_limits limits;
+    http_head head;
+    bool value_seen = false; // the last header has begun its value
+    bool complete = false;
+    bool begun = false;
+    bool no_body = false;
+    std::size_t head_bytes = 0;
+    std::size_t body_bytes = 0;
+    http_fault fault = http_fault::none;
+
+    state(http_side which, handlers hooks, http_reader_limits most)
+        : side(which), receivers(std::move(hooks)), limits(most)
+    {
+        reset();
+    }
+
+    void reset()
+    {
+        http_parser_init(&parser, side == http_side::request ? HTTP_REQUEST : HTTP_RESPONSE);
+        parser.data = this;
+        clear();
+    }
+
+    void clear()
+    {
+        head = {};
+        value_seen = false;
+        complete = false;
+        begun = false;
+        head_bytes = 0;
+        body_bytes = 0;
+    }
+
+    static state& of(http_parser* parser) { return *static_cast<state*>(parser->data); }
+
+    int fail(http_fault reason)
+    {
+        fault = reason;
+        return -1;
+    }
+
+    int count_head(std::size_t length)
+    {
+        head_bytes += length;
+        return head_bytes > limits.head_bytes ? fail(http_fault::head_too_large) : 0;
+    }
+
+    static int on_url(http_parser* parser, const char* at, std::size_t length)
+    {
+        state& self = of(parser);
+        self.head.target.append(at, length);
+        return self.count_head(length);
+    }
+
+    static int on_status(http_parser* parser, const char* at, std::size_t length)
+    {
+        of(parser).head.reason.append(at, length);
+        return 0;
+    }
+
+    static int on_name(http_parser* parser, const char* at, std::size_t length)
+    {
+        state& self = of(parser);
+        if (self.head.headers.empty() || self.value_seen) {
+            self.head.headers.emplace_back();
+            self.value_seen = false;
+        }
+        self.head.headers.back().name.append(at, length);
+        return self.count_head(length);
+    }
+
+    static int on_value(http_parser* parser, const char* at, std::size_t length)
+    {
+        state& self = of(parser);
+        self.value_seen = true;
+        self.head.headers.back().value.append(at, length);
+        return self.count_head(length);
+    }
+
+    static int on_headers_complete(http_parser* parser)
+    {
+        state& self = of(parser);
+        return self.headers_complete();
+    }
+
+    int headers_complete()
+    {
+        for (http_header& row : head.headers) {
+            while (!row.value.empty() && (row.value.back() == ' ' || row.value.back() == '\t')) {
+                row.value.pop_back();
+            }
+            if (!is_token(row.name) || !is_field_value(row.value)) {
+                return fail(http_fault::malformed);
+            }
+        }
+        if (parser.http_major != 1) {
+            return fail(http_fault::malformed);
+        }
+        if (side == http_side::request) {
+            head.method = http_method_str(static_cast<http_method>(parser.method));
+        }
+        else {
+            head.status = static_cast<int>(parser.status_code);
+        }
+        head.minor_version = parser.http_minor;
+        head.chunked = (parser.flags & F_CHUNKED) != 0;
+        if (!head.chunked && (parser.flags & F_CONTENTLENGTH) != 0) {
+            head.length = parser.content_length;
+        }
+        if (head.length && *head.length > limits.body_bytes && !no_body) {
+            return fail(http_fault::body_too_large);
+        }
+        head.keep_alive = http_should_keep_alive(&parser) != 0;
+        if (receivers.on_head) {
+            receivers.on_head(head);
+        }
+        return no_body ? skip_body : 0;
+    }
+
+    static int on_body(http_parser* parser, const char* at, std::size_t length)
+    {
+        state& self = of(parser);
+        self.body_bytes += length;
+        if (self.body_bytes > self.limits.body_bytes) {
+            return self.fail(http_fault::body_too_large);
+        }
+        if (self.receivers.on_body) {
+            self.receivers.on_body({at, length});
+        }
+        return 0;
+    }
+
+    static int on_message_begin(http_parser* parser)
+    {
+        of(parser).begun = true;
+        return 0;
+    }
+
+    static int on_message_complete(http_parser* parser)
+    {
+        of(parser).complete = true;
+        http_parser_pause(parser, 1); // what follows belongs to the next message
+        return 0;
+    }
+
+    static const http_parser_settings& callbacks()
+    {
+        static const http_parser_settings table = [] {
+            http_parser_settings made{};
+            made.on_message_begin = &state::on_message_begin;
+            made.on_url = &state::on_url;
+            made.on_status = &state::on_status;
+            made.on_header_field = &state::on_name;
+            made.on_header_value = &state::on_value;
+            made.on_headers_complete = &state::on_headers_complete;
+            made.on_body = &state::on_body;
+            made.on_message_complete = &state::on_message_complete;
+            return made;
+        }();
+        return table;
+    }
+
+    void note_error(http_fault otherwise)
+    {
+        const auto error = HTTP_PARSER_ERRNO(&parser);
+        if (error == HPE_OK || error == HPE_PAUSED || fault != http_fault::none) {
+            return;
+        }
+        fault = error == HPE_HEADER_OVERFLOW ? http_fault::head_too_large : otherwise;
+    }
+};
+
+http_reader::http_reader(http_side side, handlers receivers, http_reader_limits limits)
+    : state_(std::make_unique<state>(side, std::move(receivers), limits))
+{
+}
+
+http_reader::~http_reader() = default;
+
+void http_reader::set_limits(http_reader_limits limits)
+{
+    state_->limits = limits;
+}
+
+std::size_t http_reader::feed(std::string_view data)
+{
+    if (data.empty() || state_->complete || state_->fault != http_fault::none) {
+        return 0;
+    }
+    const std::size_t used =
+        http_parser_execute(&state_->parser, &state::callbacks(), data.data(), data.size());
+    state_->note_error(http_fault::malformed);
+    return used;
+}
+
+void http_reader::feed_end()
+{
+    if (state_->complete || state_->fault != http_fault::none) {
+        return;
+    }
+    http_parser_execute(&state_->parser, &state::callbacks(), "", 0);
+    state_->note_error(http_fault::early_end);
+}
+
+void http_reader::next(bool no_body)
+{
+    state_->reset();
+    state_->no_body = no_body;
+}
+
+bool http_reader::complete() const
+{
+    return state_->complete;
+}
+
+bool http_reader::begun() const
+{
+    return state_->begun;
+}
+
+http_fault http_reader::fault() const
+{
+    return state_->fault;
+}
+
+} // namespace cyclamen
--- a/Source/http_server.h
+++ b/Source/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http_message.h"
 #include "net_address.h"
 #include "time_types.h"
 
@@ -16,11 +17,6 @@
 
 namespace cyclamen {
 
-struct http_header {
-    std::string name;
-    std::string value;
-};
-
 /// One request that a server took, and the way to answer it.  Kept alive by whoever
 /// still has to answer; a caller that left is noticed through `on_closed`.
 class http_exchange {
--- a/Source/kernel.cpp
+++ b/Source/kernel.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <ctime>
 #include <stdexcept>
 
 namespace cyclamen {
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr millis idle_check_interval = 20ms;
+constexpr millis log_flush_interval = 100ms;
 constexpr int forced_stop_status = 3;
 
 timeval to_timeval(millis interval)
@@ -25,6 +27,14 @@
     static_cast<kernel*>(user)->stop();
 }
 
+void on_reload_signal(evutil_socket_t /*signal*/, short /*what*/, void* user)
+{
+    const auto* core = static_cast<kernel*>(user);
+    if (core->on_reload) {
+        core->on_reload();
+    }
+}
+
 } // namespace
 
 struct kernel::timer::state {
@@ -72,11 +82,19 @@
         event_add(handle, nullptr);
         signals_.push_back(handle);
     }
+    event* reload = evsignal_new(loop_, SIGHUP, on_reload_signal, this);
+    event_add(reload, nullptr);
+    signals_.push_back(reload);
+    buffer_events(true);
+    log_flush_ = every(log_flush_interval, [] { flush_events(); });
 }
 
 kernel::~kernel()
 {
     idle_check_ = timer();
+    log_flush_ = timer();
+    buffer_events(false);
+    flush_events();
     while (!services_.empty()) {
         services_.pop_back();
     }
@@ -137,7 +155,15 @@
 
 millis kernel::now() const
 {
-    return std::chrono::duration_cast<millis>(std::chrono::steady_clock::now().time_since_epoch());
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::duration_cast<millis>(std::chrono::seconds(time.tv_sec) +
+                                              std::chrono::nanoseconds(time.tv_nsec));
+}
+
+std::string kernel::metrics_text() const
+{
+    return metrics_.text() + latencies_.text();
 }
 
 millis kernel::wall_clock() const
--- a/Source/kernel.h
+++ b/Source/kernel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "counters.h"
+#include "latency_histograms.h"
 #include "service.h"
 #include "time_types.h"
 
@@ -67,7 +68,8 @@
     bool stopping() const { return stopping_; }
 
     event_base* loop() const { return loop_; }
-    /// Monotonic time.
+    /// Time since the system started.  It goes on while the system is suspended, so that
+    /// knowledge and deadlines have their true age after that.
     millis now() const;
     /// Wall-clock time since 1970.
     millis wall_clock() const;
@@ -78,11 +80,17 @@
     millis jittered(millis interval);
 
     counters& metrics() { return metrics_; }
+    latency_histogram& latency(const std::string& name) { return latencies_.named(name); }
+    /// Counters and histograms in the Prometheus text format.
+    std::string metrics_text() const;
     const std::string& instance() const { return options_.instance; }
     /// Identifies this process among all that ever had this name.
     std::uint64_t incarnation() const { return incarnation_; }
     nlohmann::json describe() const;
 
+    /// Called on SIGHUP.
+    std::function<void()> on_reload;
+
 private:
     service& lookup(std::string_view name);
     void check_idle();
@@ -92,6 +100,8 @@
     std::mt19937_64 random_;
     std::uint64_t incarnation_;
     counters metrics_;
+    latency_histograms latencies_;
+    timer log_flush_;
     std::vector<std::unique_ptr<service>> services_;
     std::vector<event*> signals_;
     timer idle_check_;
--- /dev/null
+++ b/Source/log_follower.cpp
@@ -0,0 +1,94 @@
+#include "log_follower.h"
+
+#include "event_log.h"
+
+#include <iterator>
+#include <utility>
+
+namespace cyclamen {
+
+log_follower::log_follower(kernel& core, log_follower_options options, record_mirror& mirror,
+                           hooks collaborators)
+    : core_(core), options_(std::move(options)), mirror_(mirror), hooks_(std::move(collaborators))
+{
+}
+
+void log_follower::start()
+{
+    list_next();
+}
+
+void log_follower::later(millis delay, void (log_follower::*step)())
+{
+    timer_ = core_.after(delay, [this, step] { (this->*step)(); });
+}
+
+void log_follower::list_next()
+{
+    hooks_.list(after_, [this](log_page page) { page_listed(std::move(page)); });
+}
+
+void log_follower::page_listed(log_page page)
+{
+    if (page.end != log_call_end::answered) {
+        fail(page.why);
+        later(options_.retry_pause, &log_follower::list_next);
+        return;
+    }
+    hooks_.on_answered();
+    // Pages are not a snapshot: what changes meanwhile is read after the first page's end.
+    listing_end_ = listing_end_.value_or(page.log_end);
+    listed_.insert(listed_.end(), std::make_move_iterator(page.records.begin()),
+                   std::make_move_iterator(page.records.end()));
+    after_ = page.more_after;
+    if (after_) {
+        list_next();
+        return;
+    }
+    log_event(event_id::records_resynchronised, "log={} keys={} end={} before={}", options_.name,
+              listed_.size(), *listing_end_, mirror_.position().value_or(0));
+    mirror_.take_listing(std::exchange(listed_, {}), *listing_end_);
+    listing_end_.reset();
+    hooks_.on_taken();
+    read_next();
+}
+
+void log_follower::read_next()
+{
+    waiting_ = options_.wait > 0ms;
+    hooks_.read(mirror_.position().value_or(0), options_.wait,
+                [this](log_page page) { page_read(std::move(page)); });
+}
+
+void log_follower::page_read(log_page page)
+{
+    waiting_ = false;
+    if (page.end == log_call_end::gone) {
+        list_next();
+        return;
+    }
+    if (page.end == log_call_end::failed) {
+        fail(page.why);
+        later(options_.retry_pause, &log_follower::read_next);
+        return;
+    }
+    hooks_.on_answered();
+    for (mirrored_record& record : page.records) {
+        mirror_.advance(record.offset + 1);
+        mirror_.take(std::move(record));
+    }
+    hooks_.on_taken();
+    const bool more = mirror_.position().value_or(0) < page.log_end;
+    if (more || options_.wait > 0ms) {
+        read_next();
+        return;
+    }
+    later(options_.pause, &log_follower::read_next);
+}
+
+void log_follower::fail(const std::string& why)
+{
+    hooks_.on_failed(why);
+}
+
+} // namespace cyclamen
--- /dev/null
+++ b/Source/relay_exchange.cpp
@@ -0,0 +1,413 @@
+#include "relay_exchange.h"
+
+#include "backend_connections.h"
+#include "event_log.h"
+#include "hashing.h"
+#include "relay_knowledge.h"
+#include "retry_budgets.h"
+
+#include <algorithm>
+
+namespace cyclamen {
+
+namespace {
+
+constexpr int first_failure = 500;
+constexpr int misdirected = 421;
+constexpr int bad_gateway = 502;
+constexpr int unavailable = 503;
+constexpr int gateway_timeout = 504;
+
+bool is_event_stream(const http_head& head)
+{
+    return head.header_or("Content-Type", "").starts_with("text/event-stream");
+}
+
+} // namespace
+
+relay_exchange::relay_exchange(const relay_context& context, caller_connection& caller,
+                               std::function<void(relay_exchange&)> on_end)
+    : context_(context), caller_(&caller), on_end_(std::move(on_end)),
+      table_(context.knowledge.routes()), body_(caller.take_body()), began_(caller.began_at())
+{
+}
+
+relay_exchange::~relay_exchange()
+{
+    release_call(true);
+}
+
+void relay_exchange::begin()
+{
+    caller_->on_left = [this] { caller_left(); };
+    caller_->on_drained = [this] {
+        if (connection_ != nullptr) {
+            connection_->pause_reading(false);
+        }
+    };
+    facts_ = context_.dialect.read_request(caller_->request());
+    if (!admit_request()) {
+        return;
+    }
+    attempts_ = std::make_unique<direct_attempts>(
+        direct_attempts_options{}, route_->kind, route_->resumable, route_->most_backends,
+        direct_attempts::hooks{.take_retry = [this] { return context_.retries.take(service_); }});
+    millis most = facts_.deadline.value_or(context_.options.default_deadline);
+    if (route_->timeout > 0ms) {
+        most = std::min(most, route_->timeout);
+    }
+    deadline_ = began_ + most;
+    const millis until = deadline_ + context_.options.answer_slack - context_.core.now();
+    deadline_timer_ =
+        context_.core.after(std::max(1ms, until), [this] { deadline_passed(); });
+    attempt();
+}
+
+bool relay_exchange::admit_request()
+{
+    const http_head& request = caller_->request();
+    const admission verdict =
+        admit(table_.get(), context_.knowledge.fresh(), request.header_or("Host", ""),
+              request.path(), facts_.key);
+    route_ = verdict.route;
+    account_ = verdict.account;
+    if (verdict.refused_with == 0) {
+        return true;
+    }
+    log_event(event_id::request_refused,
+              "request={} status={} reason={} path={} version={} source_age_ms={}", facts_.id,
+              verdict.refused_with, verdict.reason, request.path(),
+              table_ == nullptr ? 0 : table_->version(), context_.knowledge.age().count());
+    refuse(verdict.refused_with, verdict.reason);
+    return false;
+}
+
+millis relay_exchange::time_left() const
+{
+    return deadline_ - context_.core.now();
+}
+
+std::optional<std::uint64_t> relay_exchange::placement_part() const
+{
+    if (!route_->prompt_affinity || facts_.prompt.empty()) {
+        return std::nullopt;
+    }
+    // The last part is the request's own; the one before it is the longest that is shared.
+    const std::size_t shared = facts_.prompt.size() > 1 ? facts_.prompt.size() - 2 : 0;
+    return facts_.prompt[shared].hash;
+}
+
+// A route's requests are split over services by weight; those that share a prompt stay
+// together.
+std::string relay_exchange::service_for_attempt()
+{
+    unsigned total = 0;
+    for (const weighted_service& part : route_->services) {
+        total += part.weight;
+    }
+    if (total == 0) {
+        return route_->services.empty() ? std::string() : route_->services.front().service;
+    }
+    const std::uint64_t draw = placement_part().value_or(hash_of(facts_.id));
+    auto point = static_cast<unsigned>(mix_hashes(draw, hash_of(route_->name)) % total);
+    for (const weighted_service& part : route_->services) {
+        if (point < part.weight) {
+            return part.service;
+        }
+        point -= part.weight;
+    }
+    return route_->services.back().service;
+}
+
+void relay_exchange::attempt()
+{
+    if (service_.empty()) {
+        service_ = service_for_attempt();
+        context_.retries.first_try(service_);
+    }
+    const relay_service* service = table_->service(service_);
+    if (service == nullptr) {
+        give_up("unknown_service");
+        return;
+    }
+    const backend_choice choice = context_.chooser.choose(
+        context_.knowledge.backends(), *service,
+        {.service = service_, .prompt = placement_part(), .tried = &tried_}, context_.core.now());
+    if (choice.server == nullptr) {
+        wait_for_backend(choice);
+        return;
+    }
+    waiting_since_.reset();
+    send(choice);
+}
+
+void relay_exchange::wait_for_backend(const backend_choice& choice)
+{
+    const millis now = context_.core.now();
+    if (!waiting_since_) {
+        waiting_since_ = now;
+    }
+    const millis most = std::max(context_.options.wait_step,
+                                 route_->target * context_.options.wait_eighths / 8);
+    if (now - *waiting_since_ >= most) {
+        give_up(std::string(choice.reason));
+        return;
+    }
+    wait_timer_ = context_.core.after(context_.options.wait_step, [this] { attempt(); });
+}
+
+void relay_exchange::send(const backend_choice& choice)
+{
+    backend& server = *choice.server;
+    backend_id_ = server.entry.id;
+    tried_.insert(backend_id_);
+    ++server.in_flight;
+    sent_at_ = context_.core.now();
+    failure_.reset();
+    mode_ = body_mode::discard;
+    events_.restart();
+    backend_call_facts facts{.time_left = std::max(1ms, time_left()),
+                             .backend_id = backend_id_,
+                             .account = account_ == nullptr ? std::string() : account_->name,
+                             .hide_key = table_->keys_required(),
+                             .priority = route_->priority,
+                             .last_event_id = events_.last_id().empty() ? facts_.last_event_id
+                                                                        : events_.last_id()};
+    if (account_ != nullptr && account_->priority) {
+        facts.priority = account_->priority;
+    }
+    http_head request = context_.dialect.write_request(caller_->request(), facts);
+    request.chunked = false;
+    request.length.reset();
+    if (!body_.empty() || caller_->request().length || caller_->request().chunked) {
+        request.length = body_.size();
+    }
+    const bool once = !attempts_->repeatable();
+    connection_ = context_.connections.take(backend_id_, server.entry.address, once);
+    log_event(event_id::backend_chosen,
+              "request={} route={} backend={} zone={} reason={} rank={} load={} mean={:.1f} pool={} "
+              "cold={} try={} left_ms={} version={} source_age_ms={} listed_age_ms={}",
+              facts_.id, route_->name, backend_id_, server.entry.zone, choice.reason, choice.rank,
+              choice.load, choice.mean, choice.pool, server.cold(sent_at_), tried_.size(),
+              facts.time_left.count(), table_->version(), context_.knowledge.age().count(),
+              (sent_at_ - server.listed_at).count());
+    connection_->call(request, body_,
+                      {.on_head = [this](const http_head& head) { return answer_head(head); },
+                       .on_body = [this](std::string_view data) { answer_body(data); },
+                       .on_end = [this](http_end end) { call_ended(end); }});
+}
+
+bool relay_exchange::answer_head(const http_head& head)
+{
+    const answer_facts facts = context_.dialect.read_answer(head);
+    if (!facts.id.empty() && facts.id != facts_.id) {
+        log_event(event_id::stray_answer, "request={} backend={} answers={}", facts_.id,
+                  backend_id_, facts.id);
+        return false;
+    }
+    backend* server = context_.knowledge.backends().find(backend_id_);
+    if (server != nullptr && facts.load) {
+        context_.knowledge.backends().note_load(*server, *facts.load, context_.core.now());
+    }
+    if (facts.not_run || head.status == misdirected) {
+        failure_ = attempt_end::rejected;
+        return true;
+    }
+    const bool failed = head.status >= first_failure;
+    if (head_passed_ && (failed || !is_event_stream(head))) {
+        failure_ = attempt_end::lost; // what came does not continue the stream
+        return true;
+    }
+    if (failed && attempts_->repeatable()) {
+        const attempt_step step = attempts_->after(attempt_end::failed);
+        if (step == attempt_step::again) {
+            failure_ = attempt_end::failed;
+            return true;
+        }
+    }
+    begin_caller_answer(head);
+    return true;
+}
+
+void relay_exchange::begin_caller_answer(const http_head& head)
+{
+    status_ = head.status;
+    mode_ = is_event_stream(head) ? body_mode::events : body_mode::pass;
+    if (head_passed_) {
+        return;
+    }
+    http_head answer = head;
+    remove_connection_headers(answer, {});
+    if (mode_ == body_mode::events && route_->resumable) {
+        answer.length.reset(); // it may end at another server
+    }
+    head_passed_ = true;
+    caller_->begin_answer(std::move(answer));
+}
+
+void relay_exchange::answer_body(std::string_view data)
+{
+    if (mode_ == body_mode::discard) {
+        return;
+    }
+    const std::string_view ready = mode_ == body_mode::events ? events_.feed(data) : data;
+    if (ready.empty()) {
+        return;
+    }
+    if (!first_byte_seen_) {
+        first_byte_seen_ = true;
+        context_.core.latency("first_byte_ms").observe(context_.core.now() - began_);
+    }
+    caller_->write(ready);
+    if (caller_->unsent() > context_.options.most_unsent && connection_ != nullptr) {
+        connection_->pause_reading(true);
+    }
+}
+
+void relay_exchange::call_ended(http_end how)
+{
+    backend* server = context_.knowledge.backends().find(backend_id_);
+    const millis now = context_.core.now();
+    std::optional<attempt_end> failure = failure_;
+    if (how == http_end::not_sent) {
+        failure = attempt_end::not_sent;
+    }
+    else if (how == http_end::lost && !failure) {
+        failure = attempt_end::lost;
+    }
+    if (server != nullptr && failure == attempt_end::not_sent) {
+        context_.knowledge.backends().unreachable(*server, now);
+    }
+    else if (server != nullptr) {
+        const bool bad = failure || status_ >= first_failure;
+        server->health.ended(bad ? backend_outcome::bad : backend_outcome::good, now);
+    }
+    release_call(false);
+    if (!failure) {
+        finish_answer();
+        return;
+    }
+    log_event(event_id::attempt_failed, "request={} backend={} end={} after_ms={} head_passed={}",
+              facts_.id, backend_id_, name_of(attempt_end_names, *failure),
+              (now - sent_at_).count(), head_passed_);
+    attempt_ended(*failure);
+}
+
+void relay_exchange::attempt_ended(attempt_end how)
+{
+    // An answer that failed was counted when its head came.
+    const attempt_step step =
+        how == attempt_end::failed ? attempt_step::again : attempts_->after(how);
+    if (step == attempt_step::again && time_left() > 0ms) {
+        attempt();
+        return;
+    }
+    give_up(std::string(name_of(attempt_end_names, how)));
+}
+
+void relay_exchange::finish_answer()
+{
+    if (mode_ == body_mode::events) {
+        caller_->write(events_.partial());
+    }
+    caller_->end_answer();
+    end("answered");
+}
+
+void relay_exchange::refuse(int status, const std::string& reason)
+{
+    relay_refusal why{.status = status, .reason = reason};
+    if (status == unavailable) {
+        const relay_exchange_options& options = context_.options;
+        millis wait = context_.core.jittered(options.least_retry_after * 2);
+        if (deadline_ > 0ms) {
+            const auto most = std::chrono::duration_cast<millis>(
+                std::max(0ms, time_left()) * options.retry_after_share);
+            wait = std::min(wait, most);
+        }
+        why.retry_after = std::min(wait, options.most_retry_after);
+    }
+    status_ = status;
+    caller_->refuse(why);
+    end(reason);
+}
+
+void relay_exchange::give_up(const std::string& reason)
+{
+    if (head_passed_) {
+        caller_->abort_answer();
+        end("broken_off_" + reason);
+        return;
+    }
+    refuse(attempts_ != nullptr && attempts_->may_have_run() ? bad_gateway : unavailable, reason);
+}
+
+void relay_exchange::deadline_passed()
+{
+    const bool open = connection_ != nullptr;
+    release_call(true);
+    if (head_passed_) {
+        caller_->abort_answer();
+        end("deadline_in_answer");
+        return;
+    }
+    refuse(open || attempts_->may_have_run() ? gateway_timeout : unavailable, "deadline");
+}
+
+void relay_exchange::caller_left()
+{
+    release_call(true);
+    end("caller_left");
+}
+
+void relay_exchange::abort(const std::string& why)
+{
+    const bool open = connection_ != nullptr;
+    release_call(true);
+    if (head_passed_) {
+        caller_->abort_answer();
+        end(why);
+        return;
+    }
+    refuse(open || attempts_->may_have_run() ? bad_gateway : unavailable, why);
+}
+
+void relay_exchange::release_call(bool abandon)
+{
+    if (connection_ == nullptr) {
+        return;
+    }
+    backend* server = context_.knowledge.backends().find(backend_id_);
+    if (server != nullptr && server->in_flight > 0) {
+        --server->in_flight;
+    }
+    if (abandon) {
+        connection_->abandon();
+    }
+    else {
+        context_.connections.give_back(backend_id_, std::move(connection_));
+    }
+    connection_.reset();
+}
+
+void relay_exchange::end(std::string_view outcome)
+{
+    if (ended_) {
+        return;
+    }
+    ended_ = true;
+    deadline_timer_ = {};
+    wait_timer_ = {};
+    const millis took = context_.core.now() - began_;
+    ++context_.core.metrics().named(fmt::format("requests_ended_{}", status_));
+    context_.core.latency("request_ms").observe(took);
+    log_event(event_id::request_ended,
+              "request={} route={} account={} status={} outcome={} ms={} tries={} backend={} "
+              "version={}",
+              facts_.id, route_ == nullptr ? "-" : route_->name,
+              account_ == nullptr ? "-" : account_->name, status_, outcome, took.count(),
+              tried_.size(), backend_id_, table_ == nullptr ? 0 : table_->version());
+    on_end_(*this);
+}
+
+} // namespace cyclamen
--- /dev/null
+++ b/Source/relay_knowledge.cpp
@@ -0,0 +1,132 @@
+#include "relay_knowledge.h"
+
+#include "event_log.h"
+
+#include <fmt/ranges.h>
+#include <nlohmann/json.hpp>
+
+namespace cyclamen {
+
+namespace {
+
+constexpr millis sweep_interval = 200ms;
+
+} // namespace
+
+void relay_knowledge::start()
+{
+    sweep_ = core_.every(sweep_interval, [this] {
+        check_source();
+        backends_.sweep(core_.now());
+    });
+}
+
+void relay_knowledge::take_configuration(relay_configuration configuration)
+{
+    if (routes_ != nullptr && configuration.version <= routes_->version()) {
+        return;
+    }
+    const std::uint64_t before = routes_ == nullptr ? 0 : routes_->version();
+    routes_ = std::make_shared<route_table>(std::move(configuration));
+    configured_at_ = core_.now();
+    const relay_configuration& now = routes_->configuration();
+    log_event(event_id::configuration_taken,
+              "version={} before={} routes={} services={} accounts={}", now.version, before,
+              now.routes.size(), now.services.size(), now.accounts.size());
+    configured.emit();
+}
+
+void relay_knowledge::take_backend(const backend_entry& entry)
+{
+    const backend* known = backends_.find(entry.id);
+    const bool changed = known == nullptr || known->entry.draining != entry.draining ||
+                         known->entry.started_at != entry.started_at ||
+                         (known->entry.cold_for == 0ms) != (entry.cold_for == 0ms);
+    if (backends_.put(entry, core_.now()) && changed) {
+        log_event(event_id::backend_listed,
+                  "backend={} service={} zone={} address={} draining={} cold_ms={} started_at={} "
+                  "sequence={}",
+                  entry.id, entry.service, entry.zone, entry.address.text(), entry.draining,
+                  entry.cold_for.count(), entry.started_at, entry.sequence);
+    }
+}
+
+void relay_knowledge::drop_backend(const std::string& id)
+{
+    if (backends_.find(id) == nullptr) {
+        return;
+    }
+    backends_.drop(id, core_.now());
+    log_event(event_id::backend_gone, "backend={} kept_for_now={} source_age_ms={}", id,
+              backends_.find(id) != nullptr, age().count());
+}
+
+void relay_knowledge::take_zones_out(std::set<std::string> zones)
+{
+    if (zones == backends_.zones_out()) {
+        return;
+    }
+    log_event(event_id::zones_out_changed, "zones={}", fmt::join(zones, ","));
+    backends_.set_zones_out(std::move(zones));
+}
+
+void relay_knowledge::complete()
+{
+    if (!complete_) {
+        complete_ = true;
+        log_event(event_id::knowledge_complete, "version={} backends={}",
+                  routes_ == nullptr ? 0 : routes_->version(), backends_.all().size());
+    }
+}
+
+void relay_knowledge::confirmed()
+{
+    confirmed_at_ = core_.now();
+    if (lost_) {
+        lost_ = false;
+        log_event(event_id::source_regained, "backends={}", backends_.all().size());
+        backends_.source_regained(core_.now());
+    }
+}
+
+void relay_knowledge::source_lost(const std::string& why)
+{
+    if (!lost_) {
+        lost_ = true;
+        log_event(event_id::source_lost, "why={} age_ms={} version={}", why, age().count(),
+                  routes_ == nullptr ? 0 : routes_->version());
+        backends_.source_lost();
+    }
+}
+
+void relay_knowledge::check_source()
+{
+    if (complete_ && age() > options_.fresh_for) {
+        source_lost("silent");
+    }
+}
+
+nlohmann::json relay_knowledge::describe() const
+{
+    nlohmann::json servers;
+    const millis now = core_.now();
+    for (const auto& [id, server] : backends_.all()) {
+        servers[id] = {{"service", server->entry.service},
+                       {"zone", server->entry.zone},
+                       {"address", server->entry.address.text()},
+                       {"draining", server->entry.draining},
+                       {"missing", server->missing},
+                       {"cold", server->cold(now)},
+                       {"in_flight", server->in_flight},
+                       {"load", server->load(now)},
+                       {"unreachable", server->health.paused(now)}};
+    }
+    return {{"version", routes_ == nullptr ? 0 : routes_->version()},
+            {"version_age_ms", (now - configured_at_).count()},
+            {"source_age_ms", age().count()},
+            {"fresh", fresh()},
+            {"zones_out", backends_.zones_out()},
+            {"backends", servers}};
+}
+
+} // namespace cyclamen
--- /dev/null
+++ b/Source/relay_knowledge.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "backend_table.h"
+#include "kernel.h"
+#include "route_table.h"
+#include "service.h"
+
+#include <nlohmann/json_fwd.hpp>
+#include <sigc++/sigc++.h>
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace cyclamen {
+
+struct relay_knowledge_options {
+    // Knowledge that no source confirmed for so long is stale: a route or key that it
+    // lacks may be there.
+    millis fresh_for = 2500ms;
+};
+
+/// What an entry that sends straight to backend servers knows: configuration, orders and
+/// backend servers, each with the time at which its source last confirmed it.  Sources
+/// hand news in; nothing here asks for any.  Owned by the kernel as "knowledge".
+class relay_knowledge : public service {
+public:
+    relay_knowledge(kernel& core, relay_knowledge_options options)
+        : core_(core), options_(options)
+    {
+    }
+
+    std::string_view name() const override { return "knowledge"; }
+    void start() override;
+    nlohmann::json describe() const override;
+
+    /// Takes a configuration; one that is not newer is left out.
+    void take_configuration(relay_configuration configuration);
+    void take_backend(const backend_entry& entry);
+    void drop_backend(const std::string& id);
+    void take_zones_out(std::set<std::string> zones);
+    /// All there is was read at least once.
+    void complete();
+    /// A source has confirmed that there is nothing newer.
+    void confirmed();
+    void source_lost(const std::string& why);
+
+    /// The configuration in force; none before the first was read.
+    std::shared_ptr<const route_table> routes() const { return routes_; }
+    backend_table& backends() { return backends_; }
+    bool is_complete() const { return complete_; }
+    bool fresh() const { return complete_ && age() < options_.fresh_for; }
+    /// Time since a source last confirmed what is known.
+    millis age() const { return core_.now() - confirmed_at_; }
+
+    /// Raised when a new configuration came into force.
+    sigc::signal<void()> configured;
+
+private:
+    void check_source();
+
+    kernel& core_;
+    relay_knowledge_options options_;
+    std::shared_ptr<const route_table> routes_;
+    backend_table backends_;
+    bool complete_ = false;
+    bool lost_ = false;
+    millis confirmed_at_{0};
+    millis configured_at_{0};
+    kernel::timer sweep_;
+};
+
+} // namespace cyclamen
--- /dev/null
+++ b/Source/relay_port.cpp
@@ -0,0 +1,213 @@
+#include "relay_port.h"
+
+#include "event_log.h"
+#include "relay_knowledge.h"
+
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <nlohmann/json.hpp>
+
+#include <stdexcept>
+
+namespace cyclamen {
+
+namespace {
+
+constexpr millis sweep_interval = 250ms;
+// Connections that wait to be accepted; beyond, a caller's first packet is lost for a
+// second or more.
+constexpr int listen_backlog = 1024;
+
+} // namespace
+
+relay_port::relay_port(kernel& core, relay_port_options options, relay_dialect dialect)
+    : core_(core), options_(std::move(options)), dialect_(std::move(dialect)),
+      chooser_(options_.chooser), connections_(core, options_.connections),
+      retries_(options_.retries)
+{
+}
+
+relay_port::~relay_port()
+{
+    if (listener_ != nullptr) {
+        evconnlistener_free(listener_);
+    }
+}
+
+void relay_port::start()
+{
+    knowledge_ = &core_.find<relay_knowledge>("knowledge");
+    context_ = std::make_unique<relay_context>(relay_context{
+        .core = core_,
+        .knowledge = *knowledge_,
+        .chooser = chooser_,
+        .connections = connections_,
+        .retries = retries_,
+        .dialect = dialect_,
+        .options = options_.exchange,
+    });
+    sockaddr_storage address{};
+    int length = sizeof address;
+    if (evutil_parse_sockaddr_port(options_.listen.text().c_str(),
+                                   reinterpret_cast<sockaddr*>(&address), &length) == 0) {
+        listener_ = evconnlistener_new_bind(
+            core_.loop(),
+            [](evconnlistener* /*listener*/, evutil_socket_t socket, sockaddr* /*from*/,
+               int /*length*/, void* user) { static_cast<relay_port*>(user)->accept(socket); },
+            this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, listen_backlog,
+            reinterpret_cast<sockaddr*>(&address), length);
+    }
+    if (listener_ == nullptr) {
+        throw std::runtime_error("cannot listen for callers at " + options_.listen.text() +
+                                 ": see whether another process holds the port");
+    }
+    sweep_ = core_.every(sweep_interval, [this] { sweep(); });
+}
+
+bool relay_port::ready() const
+{
+    return !stopping_since_ && knowledge_ != nullptr && knowledge_->is_complete();
+}
+
+void relay_port::set_entries(unsigned entries)
+{
+    entries_ = entries;
+    chooser_.set_entries(entries);
+    retries_.set_entries(entries);
+}
+
+void relay_port::accept(int socket)
+{
+    if (callers_.size() >= options_.most_callers) {
+        ++core_.metrics().named("callers_turned_away");
+        evutil_closesocket(socket);
+        return;
+    }
+    ++core_.metrics().named("caller_connections");
+    auto connection = std::make_unique<caller_connection>(
+        core_, socket,
+        caller_connection::hooks{
+            .limits =
+                [this] {
+                    const auto routes = knowledge_->routes();
+                    return routes == nullptr ? caller_limits{} : routes->limits();
+                },
+            .on_request = [this](caller_connection& from) { on_request(from); },
+            .on_refused =
+                [this](caller_connection& /*from*/, const relay_refusal& why) {
+                    ++core_.metrics().named("requests_unreadable");
+                    log_event(event_id::request_unreadable, "status={} reason={}", why.status,
+                              why.reason);
+                },
+            .on_closed =
+                [this](caller_connection& from) {
+                    const auto found = callers_.find(&from);
+                    if (found->second.exchange != nullptr) {
+                        return; // the exchange hears of it and ends
+                    }
+                    closed_.push_back(std::move(found->second.connection));
+                    callers_.erase(found);
+                    bury();
+                }});
+    if (stopping_since_) {
+        connection->close_after_answer();
+    }
+    caller_connection* key = connection.get();
+    callers_[key].connection = std::move(connection);
+}
+
+void relay_port::on_request(caller_connection& from)
+{
+    ++core_.metrics().named("requests_taken");
+    auto exchange = std::make_unique<relay_exchange>(
+        *context_, from, [this, key = &from](relay_exchange& ended) {
+            const auto found = callers_.find(key);
+            if (found == callers_.end() || found->second.exchange.get() != &ended) {
+                return;
+            }
+            ended_.push_back(std::move(found->second.exchange));
+            if (found->second.connection->closed()) {
+                closed_.push_back(std::move(found->second.connection));
+                callers_.erase(found);
+            }
+            bury();
+        });
+    relay_exchange& started = *exchange;
+    callers_[&from].exchange = std::move(exchange);
+    started.begin();
+}
+
+void relay_port::bury()
+{
+    burial_ = core_.after(0ms, [this] {
+        ended_.clear();
+        closed_.clear();
+    });
+}
+
+void relay_port::sweep()
+{
+    connections_.sweep(
+        [this](const std::string& id) { return knowledge_->backends().find(id) != nullptr; });
+    if (!stopping_since_) {
+        return;
+    }
+    const millis since = core_.now() - *stopping_since_;
+    if (since >= options_.stop_notice) {
+        close_idle_callers();
+    }
+    if (since < options_.stop_grace) {
+        return;
+    }
+    std::vector<relay_exchange*> open;
+    for (const auto& [key, row] : callers_) {
+        if (row.exchange != nullptr) {
+            open.push_back(row.exchange.get());
+        }
+    }
+    for (relay_exchange* exchange : open) {
+        exchange->abort("stopped");
+    }
+}
+
+void relay_port::begin_stop()
+{
+    stopping_since_ = core_.now();
+    for (const auto& [key, row] : callers_) {
+        row.connection->close_after_answer();
+    }
+}
+
+void relay_port::close_idle_callers()
+{
+    std::vector<caller_connection*> open;
+    for (const auto& [key, row] : callers_) {
+        open.push_back(key);
+    }
+    for (caller_connection* connection : open) {
+        connection->close_if_idle();
+    }
+}
+
+bool relay_port::idle() const
+{
+    if (!stopping_since_) {
+        return true;
+    }
+    const millis since = core_.now() - *stopping_since_;
+    return since >= options_.stop_grace || (since >= options_.stop_notice && callers_.empty());
+}
+
+nlohmann::json relay_port::describe() const
+{
+    std::size_t exchanges = 0;
+    for (const auto& [key, row] : callers_) {
+        exchanges += row.exchange != nullptr ? 1 : 0;
+    }
+    return {{"listen", options_.listen.text()}, {"ready", ready()},
+            {"callers", callers_.size()},       {"requests_open", exchanges},
+            {"idle_backend_connections", connections_.idle()},
+            {"entries", entries_}};
+}
+
+} // namespace cyclamen
--- /dev/null
+++ b/Source/relay_port.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "backend_chooser.h"
+#include "backend_connections.h"
+#include "caller_connection.h"
+#include "kernel.h"
+#include "net_address.h"
+#include "relay_dialect.h"
+#include "relay_exchange.h"
+#include "retry_budgets.h"
+#include "service.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <map>
+#include <memory>
+#include <vector>
+
+struct evconnlistener;
+
+namespace cyclamen {
+
+class relay_knowledge;
+
+struct relay_port_options {
+    net_address listen;
+    std::size_t most_callers = 2500; // connections; more are closed unread
+    // From "not ready" until the balancer has noticed and sends no new connections.
+    millis stop_notice = 3000ms;
+    // From the begin of a stop to its end, whatever is still open.
+    millis stop_grace = 7500ms;
+    relay_exchange_options exchange;
+    backend_connections_options connections;
+    backend_chooser_options chooser;
+    retry_budgets_options retries;
+};
+
+/// Takes callers' requests of any method, path and body and relays them straight to
+/// backend servers.  Owned by the kernel as "relay".
+class relay_port : public service {
+public:
+    relay_port(kernel& core, relay_port_options options, relay_dialect dialect);
+    ~relay_port() override;
+
+    std::string_view name() const override { return "relay"; }
+    void start() override;
+    void begin_stop() override;
+    bool idle() const override;
+    nlohmann::json describe() const override;
+
+    /// This process should be sent new connections.
+    bool ready() const;
+    /// Entries that share the limits which hold for all of them together.
+    void set_entries(unsigned entries);
+
+private:
+    struct caller {
+        std::unique_ptr<caller_connection> connection;
+        std::unique_ptr<relay_exchange> exchange;
+    };
+
+    void accept(int socket);
+    void on_request(caller_connection& from);
+    void bury();
+    void sweep();
+    void close_idle_callers();
+
+    kernel& core_;
+    relay_port_options options_;
+    relay_dialect dialect_;
+    relay_knowledge* knowledge_ = nullptr;
+    backend_chooser chooser_;
+    backend_connections connections_;
+    retry_budgets retries_;
+    std::unique_ptr<relay_context> context_;
+    evconnlistener* listener_ = nullptr;
+    std::map<caller_connection*, caller> callers_;
+    // Destroyed from the loop, since they ended in a call of their own.
+    std::vector<std::unique_ptr<relay_exchange>> ended_;
+    std::vector<std::unique_ptr<caller_connection>> closed_;
+    kernel::timer burial_;
+    kernel::timer sweep_;
+    kernel::timer stop_timer_;
+    std::optional<millis> stopping_since_;
+    unsigned entries_ = 1;
+};
+
+} // namespace cyclamen
