Write an answer to the end before its connection is shut down

Cause: libevent calls the write callback once for a new connection with nothing to write; it is deferred, and arrived after a short answer with `Connection: close` was queued. Ruled out: routes and keys (the log shows 404 decided), deadlines.

--- a/Source/caller_connection.cpp
+++ b/Source/caller_connection.cpp
@@ -76,6 +76,9 @@
 void caller_connection::writable(bufferevent* /*channel*/, void* user)
 {
     auto* self = static_cast<caller_connection*>(user);
+    if (self->unsent() > 0) { // a callback of before, that was deferred
+        return;
+    }
     if (self->state_ == stage::lingering) {
         shutdown(bufferevent_getfd(self->channel_), SHUT_WR);
         return;
