--- /dev/null
+++ b/Tests/Relay/relay_knowledge_test.cpp
@@ -0,0 +1,115 @@
+// What the relay answers by what it knows, and how it stops.
+
+#include "relay_harness.h"
+
+#include <gtest/gtest.h>
+
+using namespace cyclamen;
+
+namespace {
+
+int status_of(relay_harness& fleet, const std::string& text)
+{
+    scripted_caller& caller = fleet.add_caller();
+    caller.send(text);
+    EXPECT_TRUE(fleet.wait_for([&] { return caller.status() != 0; }));
+    return caller.status();
+}
+
+} // namespace
+
+TEST(relay_knowledge, without_a_configuration_nothing_is_refused_for_good)
+{
+    relay_harness fleet;
+    EXPECT_FALSE(fleet.relay().ready());
+    EXPECT_EQ(status_of(fleet, get("/view/")), 503);
+}
+
+TEST(relay_knowledge, a_stale_configuration_refuses_no_unknown_route_or_key_for_good)
+{
+    relay_harness fleet;
+    fleet.configure(relay_harness::configuration());
+    EXPECT_EQ(status_of(fleet, get("/none/")), 404);
+    EXPECT_TRUE(fleet.wait_for([&] { return !fleet.knowledge().fresh(); }));
+    EXPECT_EQ(status_of(fleet, get("/none/")), 503);
+    EXPECT_EQ(status_of(fleet, "GET /view/ HTTP/1.1\r\nHost: h.example\r\n\r\n"), 503);
+}
+
+TEST(relay_knowledge, a_stale_configuration_still_serves_what_it_holds)
+{
+    relay_harness fleet;
+    scripted_backend& shop = fleet.add_backend("s1");
+    fleet.configure(relay_harness::configuration());
+    ASSERT_TRUE(fleet.wait_for([&] { return !fleet.knowledge().fresh(); }));
+    scripted_caller& caller = fleet.add_caller();
+    caller.send(get("/view/"));
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 1; }));
+}
+
+TEST(relay_knowledge, never_goes_back_to_an_earlier_configuration)
+{
+    relay_harness fleet;
+    relay_configuration later = relay_harness::configuration(5);
+    later.routes.clear();
+    fleet.configure(later);
+    fleet.configure(relay_harness::configuration(4));
+    EXPECT_EQ(status_of(fleet, get("/view/")), 404);
+}
+
+TEST(relay_knowledge, a_request_goes_on_under_the_configuration_that_admitted_it)
+{
+    relay_harness fleet;
+    scripted_backend& shop = fleet.add_backend("s1");
+    fleet.configure(relay_harness::configuration());
+    scripted_caller& caller = fleet.add_caller();
+    caller.send(get("/view/"));
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 1; }));
+    relay_configuration empty{.version = 9};
+    fleet.configure(empty);
+    shop.answer(0, answer_of("q1", "seen"));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("seen"); }));
+}
+
+TEST(relay_stop, finishes_open_requests_and_closes_idle_connections)
+{
+    relay_port_options options;
+    options.stop_notice = 100ms;
+    options.stop_grace = 3000ms;
+    relay_harness fleet(options);
+    scripted_backend& shop = fleet.add_backend("s1");
+    fleet.configure(relay_harness::configuration());
+    scripted_caller& open = fleet.add_caller();
+    open.send(get("/view/"));
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 1; }));
+    scripted_caller& idle = fleet.add_caller();
+    EXPECT_TRUE(fleet.relay().ready());
+    fleet.relay().begin_stop();
+    EXPECT_FALSE(fleet.relay().ready());
+    // Balancers need a while to notice: a new connection is still served, and then closed.
+    scripted_caller& late = fleet.add_caller();
+    late.send(get("/none/"));
+    EXPECT_TRUE(fleet.wait_for([&] { return late.status() == 404 && late.ended(); }));
+    EXPECT_TRUE(fleet.wait_for([&] { return idle.ended(); }));
+    EXPECT_FALSE(fleet.relay().idle());
+    shop.answer(0, answer_of("q1", "seen"));
+    ASSERT_TRUE(fleet.wait_for([&] { return open.ended(); }));
+    EXPECT_TRUE(open.received().ends_with("seen"));
+    EXPECT_TRUE(fleet.wait_for([&] { return fleet.relay().idle(); }));
+}
+
+TEST(relay_stop, ends_what_is_still_open_at_the_end_of_its_grace)
+{
+    relay_port_options options;
+    options.stop_notice = 50ms;
+    options.stop_grace = 200ms;
+    relay_harness fleet(options);
+    scripted_backend& shop = fleet.add_backend("s1");
+    fleet.configure(relay_harness::configuration());
+    scripted_caller& open = fleet.add_caller();
+    open.send(post("/pay/", "x"));
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 1; }));
+    fleet.relay().begin_stop();
+    ASSERT_TRUE(fleet.wait_for([&] { return open.status() != 0; }));
+    EXPECT_EQ(open.status(), 502); // it may have run
+    EXPECT_TRUE(fleet.wait_for([&] { return fleet.relay().idle(); }));
+}
--- /dev/null
+++ b/Tests/Relay/relay_repeats_test.cpp
@@ -0,0 +1,249 @@
+// What the relay may send again, and what callers are told when it may not.
+
+#include "relay_harness.h"
+
+#include <gtest/gtest.h>
+
+using namespace cyclamen;
+
+namespace {
+
+class relay_repeats : public testing::Test {
+protected:
+    relay_repeats() : shops_{&fleet_.add_backend("s1"), &fleet_.add_backend("s2")}
+    {
+        fleet_.configure(relay_harness::configuration());
+    }
+
+    std::size_t arrivals() const { return shops_[0]->requests() + shops_[1]->requests(); }
+
+    // The backend server with the latest request, and the index of that.
+    scripted_backend& latest(std::size_t& index)
+    {
+        scripted_backend& shop = shops_[0]->requests() > seen_[0] ? *shops_[0] : *shops_[1];
+        seen_ = {shops_[0]->requests(), shops_[1]->requests()};
+        index = shop.requests() - 1;
+        return shop;
+    }
+
+    void expect_arrivals(std::size_t count)
+    {
+        ASSERT_TRUE(fleet_.wait_for([&] { return arrivals() == count; }));
+    }
+
+    void expect_status(scripted_caller& caller, int status)
+    {
+        ASSERT_TRUE(fleet_.wait_for([&] { return caller.status() != 0; }));
+        EXPECT_EQ(caller.status(), status);
+    }
+
+    relay_harness fleet_;
+    std::array<scripted_backend*, 2> shops_;
+    std::array<std::size_t, 2> seen_{};
+};
+
+const std::string rejection = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+const std::string event_stream = "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nServer-Signature: first\r\n"
+                                 "Content-Type: text/event-stream\r\n\r\n";
+
+} // namespace
+
+TEST_F(relay_repeats, a_payment_whose_answer_was_lost_is_not_sent_again)
+{
+    scripted_caller& caller = fleet_.add_caller();
+    caller.send(post("/pay/", "x"));
+    expect_arrivals(1);
+    std::size_t index = 0;
+    latest(index).reset(index);
+    expect_status(caller, 502);
+    EXPECT_EQ(arrivals(), 1U);
+}
+
+TEST_F(relay_repeats, a_payment_goes_elsewhere_after_a_proof_that_it_did_not_run)
+{
+    scripted_caller& caller = fleet_.add_caller();
+    caller.send(post("/pay/", "x"));
+    expect_arrivals(1);
+    std::size_t index = 0;
+    latest(index).answer(index, rejection);
+    expect_arrivals(2);
+    latest(index).answer(index, answer_of("q1", "paid"));
+    expect_status(caller, 200);
+}
+
+TEST_F(relay_repeats, a_payment_that_every_server_rejected_is_told_as_not_run)
+{
+    scripted_caller& caller = fleet_.add_caller();
+    caller.send(post("/pay/", "x"));
+    for (std::size_t count = 1; count <= 2; ++count) {
+        expect_arrivals(count);
+        std::size_t index = 0;
+        latest(index).answer(index, rejection);
+    }
+    expect_status(caller, 503);
+    EXPECT_NE(caller.received().find("Retry-After: "), std::string::npos);
+}
+
+TEST_F(relay_repeats, a_payment_is_never_told_as_not_run_once_it_may_have_run)
+{
+    fleet_.relay().set_entries(1);
+    scripted_caller& caller = fleet_.add_caller();
+    caller.send(post("/pay/", "x"));
+    expect_arrivals(1);
+    std::size_t index = 0;
+    scripted_backend& shop = latest(index);
+    shop.answer(index, "HTTP/1.1 200 OK\r\nContent-Le");
+    shop.close(index);
+    expect_status(caller, 502);
+}
+
+TEST_F(relay_repeats, a_servers_own_failure_of_a_payment_is_passed_on)
+{
+    scripted_caller& caller = fleet_.add_caller();
+    caller.send(post("/pay/", "x"));
+    expect_arrivals(1);
+    std::size_t index = 0;
+    latest(index).answer(index, answer_of("q1", "oops", 500, "Server-Signature: s\r\n"));
+    expect_status(caller, 500);
+    EXPECT_NE(caller.received().find("Server-Signature: s"), std::string::npos);
+    EXPECT_EQ(arrivals(), 1U);
+}
+
+TEST_F(relay_repeats, a_look_up_goes_to_another_server_after_a_failure_or_a_lost_answer)
+{
+    scripted_caller& failed = fleet_.add_caller();
+    failed.send(get("/view/"));
+    expect_arrivals(1);
+    std::size_t index = 0;
+    scripted_backend& first = latest(index);
+    first.answer(index, answer_of("q1", "oops", 500));
+    expect_arrivals(2);
+    scripted_backend& second = latest(index);
+    EXPECT_NE(&first, &second);
+    second.answer(index, answer_of("q1", "seen"));
+    expect_status(failed, 200);
+
+    scripted_caller& lost = fleet_.add_caller();
+    lost.send(get("/view/"));
+    expect_arrivals(3);
+    latest(index).close(index);
+    expect_arrivals(4);
+    latest(index).answer(index, answer_of("q1", "seen"));
+    expect_status(lost, 200);
+}
+
+TEST_F(relay_repeats, a_look_up_is_sent_to_no_more_servers_than_its_route_allows)
+{
+    scripted_backend& third = fleet_.add_backend("s3");
+    scripted_caller& caller = fleet_.add_caller();
+    caller.send(get("/view/"));
+    const auto all = [&] { return arrivals() + third.requests(); };
+    for (std::size_t count = 1; count <= 2; ++count) {
+        ASSERT_TRUE(fleet_.wait_for([&] { return all() == count; }));
+        scripted_backend* open[] = {shops_[0], shops_[1], &third};
+        for (scripted_backend* shop : open) {
+            if (shop->requests() > 0 && !shop->left(shop->requests() - 1)) {
+                shop->answer(shop->requests() - 1, answer_of("q1", "oops", 500));
+            }
+        }
+    }
+    expect_status(caller, 500);
+    EXPECT_EQ(all(), 2U);
+}
+
+TEST_F(relay_repeats, a_server_that_refuses_connections_costs_nothing)
+{
+    shops_[0]->stop_listening();
+    shops_[1]->stop_listening();
+    scripted_backend& third = fleet_.add_backend("s3");
+    scripted_caller& caller = fleet_.add_caller();
+    caller.send(post("/pay/", "x"));
+    ASSERT_TRUE(fleet_.wait_for([&] { return third.requests() == 1; }));
+    third.answer(0, answer_of("q1", "paid"));
+    expect_status(caller, 200);
+}
+
+// A connection that the server has just closed would swallow the payment: its fate would
+// be unknown.  One that was idle for long is not used for it.
+TEST_F(relay_repeats, a_payment_does_not_go_on_a_connection_that_was_idle_for_long)
+{
+    relay_port_options options;
+    options.connections.most_idle_once = 30ms;
+    relay_harness fleet(options);
+    scripted_backend& shop = fleet.add_backend("s1");
+    fleet.configure(relay_harness::configuration());
+    scripted_caller& caller = fleet.add_caller();
+    caller.send(get("/view/"));
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 1; }));
+    shop.answer(0, answer_of("q1", "seen"));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("seen"); }));
+    fleet.run_for(60ms);
+    caller.send(post("/pay/", "x"));
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 2; }));
+    EXPECT_EQ(shop.connections(), 2U);
+}
+
+TEST_F(relay_repeats, a_connection_is_given_up_before_the_server_says_it_ends)
+{
+    scripted_caller& caller = fleet_.add_caller();
+    caller.send(get("/view/"));
+    expect_arrivals(1);
+    std::size_t index = 0;
+    scripted_backend& shop = latest(index);
+    shop.answer(index, answer_of("q1", "seen", 200, "Keep-Alive: timeout=1\r\n"));
+    EXPECT_TRUE(fleet_.wait_for([&] { return shop.left(index); }));
+}
+
+TEST_F(relay_repeats, a_broken_stream_goes_on_after_its_last_whole_event)
+{
+    scripted_caller& caller = fleet_.add_caller();
+    caller.send(post("/resume/", "x"));
+    expect_arrivals(1);
+    std::size_t index = 0;
+    scripted_backend& first = latest(index);
+    first.answer(index, event_stream + "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+    ASSERT_TRUE(fleet_.wait_for([&] { return caller.received().find("data: b") != std::string::npos; }));
+    first.reset(index);
+    expect_arrivals(2);
+    scripted_backend& second = latest(index);
+    EXPECT_EQ(second.header(index, "Last-Event-Id"), "2");
+    second.answer(index, "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nServer-Signature: second\r\n"
+                         "Content-Type: text/event-stream\r\n\r\nid: 3\ndata: c\n\n");
+    second.close(index);
+    ASSERT_TRUE(fleet_.wait_for([&] { return caller.received().ends_with("0\r\n\r\n"); }));
+    EXPECT_NE(caller.received().find("data: c"), std::string::npos);
+    EXPECT_EQ(caller.received().find("second"), std::string::npos);
+    EXPECT_EQ(caller.received().find("id: 3\nda\n"), std::string::npos);
+}
+
+TEST_F(relay_repeats, a_stream_that_may_not_go_on_elsewhere_ends_without_its_end)
+{
+    scripted_caller& caller = fleet_.add_caller();
+    caller.send(post("/tell/", "x"));
+    expect_arrivals(1);
+    std::size_t index = 0;
+    scripted_backend& shop = latest(index);
+    shop.answer(index, event_stream + "id: 1\ndata: a\n\n");
+    ASSERT_TRUE(fleet_.wait_for([&] { return caller.received().find("data: a") != std::string::npos; }));
+    shop.reset(index);
+    ASSERT_TRUE(fleet_.wait_for([&] { return caller.ended(); }));
+    EXPECT_EQ(caller.received().find("0\r\n\r\n"), std::string::npos);
+    EXPECT_EQ(arrivals(), 1U);
+}
+
+TEST_F(relay_repeats, nothing_is_sent_to_a_server_that_leaves_or_to_a_zone_that_is_out)
+{
+    scripted_backend& away = fleet_.add_backend("s3", "shop", "b");
+    fleet_.knowledge().drop_backend("s1");
+    fleet_.knowledge().take_backend(
+        {.id = "s2", .service = "shop", .zone = "a", .draining = true, .started_at = 1, .sequence = 2});
+    scripted_caller& caller = fleet_.add_caller();
+    caller.send(get("/view/"));
+    ASSERT_TRUE(fleet_.wait_for([&] { return away.requests() == 1; }));
+    fleet_.knowledge().take_zones_out({"b"});
+    scripted_caller& refused = fleet_.add_caller();
+    refused.send(get("/view/"));
+    expect_status(refused, 503);
+    EXPECT_EQ(arrivals(), 0U);
+    EXPECT_EQ(away.requests(), 1U);
+}
