Let entries tell each other loads, places of prompts and records; stop in time

Change: a digest four times a second to each peer (in flight, places, positions in the logs); an entry that is behind takes the records from a peer. Prompts stay with the servers that keep them.

--- a/Source/backend_chooser.cpp
+++ b/Source/backend_chooser.cpp
@@ -36,9 +36,18 @@
             ordered.push_back(pool.servers[index]);
         }
     }
+    std::stable_partition(ordered.begin(), ordered.end(),
+                          [&](const backend* server) { return keeps(*server, wish, now); });
     return ordered;
 }
 
+bool backend_chooser::keeps(const backend& server, const backend_wish& wish, millis now)
+{
+    return wish.places != nullptr && wish.prompt &&
+           wish.places->holds(static_cast<std::uint32_t>(*wish.prompt),
+                              static_cast<std::uint32_t>(server.hash), now);
+}
+
 bool backend_chooser::admits_cold(backend& server, const relay_service& service, millis now) const
 {
     if (service.cold_starts_per_second <= 0 || !server.cold(now)) {
@@ -60,15 +69,13 @@
     if (pool.servers.empty()) {
         return choice;
     }
-    double load = 0;
     double bad = 0;
     double ends = 0;
     for (const backend* server : pool.servers) {
-        load += server->load(now);
         bad += server->health.bad(now);
         ends += server->health.bad(now) + server->health.good(now);
     }
-    pool.mean = load / static_cast<double>(pool.servers.size());
+    pool.mean = table.mean_load(service.name, now);
     pool.bad_share = ends > 0 ? bad / ends : 0;
     choice.mean = pool.mean;
     const double bound = options_.load_multiple * pool.mean + options_.load_margin;
@@ -111,6 +118,7 @@
         choice.load = spare->load(now);
         choice.reason = "spare";
     }
+    choice.kept = choice.server != nullptr && keeps(*choice.server, wish, now);
     if (choice.server != nullptr && service.cold_starts_per_second > 0 && choice.server->cold(now)) {
         choice.server->cold_starts.take(now);
     }
--- a/Source/backend_chooser.h
+++ b/Source/backend_chooser.h
@@ -2,6 +2,7 @@
 
 #include "backend_table.h"
 #include "placement.h"
+#include "prompt_places.h"
 
 #include <optional>
 #include <set>
@@ -22,6 +23,7 @@
 struct backend_wish {
     std::string service;
     std::optional<std::uint64_t> prompt; // hash of the part of the prompt to look for
+    const prompt_places* places = nullptr; // servers that keep it
     const std::set<std::string>* tried = nullptr; // ids that are not to be chosen again
 };
 
@@ -30,14 +32,15 @@
     backend* server = nullptr; // none: see `reason`
     std::string_view reason = "none_listed";
     unsigned rank = 0; // place in the prompt's order
+    bool kept = false; // it keeps the prompt's part
     unsigned load = 0;
     double mean = 0;   // over the pool
     unsigned pool = 0; // servers that may be given requests
 };
 
-/// Chooses the backend server for a request.  Requests with a prompt go to the server
-/// that is first in the order of their prompt and below the load bound; others to the
-/// least loaded, those of the own zone first.
+/// Chooses the backend server for a request.  Requests with a prompt go to the first
+/// server below the load bound: those that keep the prompt first, then in the order of the
+/// prompt.  Others go to the least loaded, those of the own zone first.
 class backend_chooser {
 public:
     explicit backend_chooser(backend_chooser_options options) : options_(std::move(options)) {}
@@ -56,6 +59,7 @@
     };
 
     std::vector<backend*> order(const pool_state& pool, const backend_wish& wish, millis now) const;
+    static bool keeps(const backend& server, const backend_wish& wish, millis now);
     bool admits_cold(backend& server, const relay_service& service, millis now) const;
 
     backend_chooser_options options_;
--- a/Source/backend_table.cpp
+++ b/Source/backend_table.cpp
@@ -17,7 +17,7 @@
     return in_flight + others;
 }
 
-bool backend_table::put(const backend_entry& entry, millis now)
+backend_table::news backend_table::put(const backend_entry& entry, millis now)
 {
     std::unique_ptr<backend>& place = servers_[entry.id];
     if (place != nullptr) {
@@ -25,15 +25,17 @@
         const bool older = entry.started_at < known.started_at ||
                            (entry.started_at == known.started_at && entry.sequence < known.sequence);
         if (older) {
-            return false;
+            return news::older;
         }
     }
     const bool reborn = place != nullptr && (entry.started_at != place->entry.started_at ||
                                              entry.address.text() != place->entry.address.text());
-    if (place == nullptr || reborn) {
+    const bool fresh = place == nullptr || reborn;
+    if (fresh) {
         const unsigned in_flight = place == nullptr ? 0 : place->in_flight;
         place = std::make_unique<backend>();
         place->hash = hash_of(entry.id);
+        recount(*place);
         place->in_flight = in_flight; // they end by themselves
     }
     place->entry = entry;
@@ -42,7 +44,7 @@
     if (entry.cold_for > 0ms) {
         place->cold_until = std::max(place->cold_until, now + entry.cold_for + options_.cold_slack);
     }
-    return true;
+    return fresh ? news::new_incarnation : news::same_incarnation;
 }
 
 void backend_table::drop(const std::string& id, millis now)
@@ -93,6 +95,42 @@
     return result;
 }
 
+double backend_table::mean_load(const std::string& service, millis now) const
+{
+    double load = 0;
+    unsigned count = 0;
+    for (const auto& [id, server] : servers_) {
+        if (server->entry.service == service) {
+            load += server->load(now);
+            ++count;
+        }
+    }
+    return count == 0 ? 0 : load / count;
+}
+
+void backend_table::recount(backend& server) const
+{
+    server.elsewhere = 0;
+    for (const auto& [entry, counts] : elsewhere_) {
+        const auto found = counts.find(static_cast<std::uint32_t>(server.hash));
+        server.elsewhere += found == counts.end() ? 0 : found->second;
+    }
+}
+
+bool backend_table::set_elsewhere(const std::string& entry,
+                                  std::map<std::uint32_t, unsigned> counts)
+{
+    auto& known = elsewhere_[entry];
+    if (known.empty() && counts.empty()) {
+        return false;
+    }
+    known = std::move(counts);
+    for (const auto& [id, server] : servers_) {
+        recount(*server);
+    }
+    return true;
+}
+
 void backend_table::unreachable(backend& server, millis now)
 {
     server.health.unreachable(now);
--- a/Source/backend_table.h
+++ b/Source/backend_table.h
@@ -53,8 +53,10 @@
 public:
     explicit backend_table(backend_table_options options = {}) : options_(options) {}
 
-    /// Takes an entry; false if it is older than what is known.
-    bool put(const backend_entry& entry, millis now);
+    /// What an entry that was put changed.
+    enum class news { older, same_incarnation, new_incarnation };
+
+    news put(const backend_entry& entry, millis now);
     /// The entry of `id` is not there any more.
     void drop(const std::string& id, millis now);
     /// The zones that operators have taken out.
@@ -69,14 +71,23 @@
     backend* find(const std::string& id);
     /// The servers of `service` that may be given requests, in order of id.
     std::vector<backend*> usable(const std::string& service);
+    /// Mean load over all servers of `service`, those included that are given nothing: they
+    /// are part of the pool until they have gone.
+    double mean_load(const std::string& service, millis now) const;
     void unreachable(backend& server, millis now);
     void note_load(backend& server, const backend_load& load, millis now);
+    /// What another entry holds at servers, by the low half of the hash of their ids;
+    /// replaces what it told before.  False if nothing is held, before and after.
+    bool set_elsewhere(const std::string& entry, std::map<std::uint32_t, unsigned> counts);
 
     const std::map<std::string, std::unique_ptr<backend>>& all() const { return servers_; }
 
 private:
+    void recount(backend& server) const;
+
     backend_table_options options_;
     std::map<std::string, std::unique_ptr<backend>> servers_; // by id
+    std::map<std::string, std::map<std::uint32_t, unsigned>> elsewhere_; // by entry
     std::set<std::string> zones_out_;
     bool source_away_ = false;
     millis grace_until_{0};
--- a/Source/event_log.cpp
+++ b/Source/event_log.cpp
@@ -149,6 +149,7 @@
         {event_id::records_resynchronised, severity::info, "records_resynchronised"},
         {event_id::peer_heard, severity::info, "peer_heard"},
         {event_id::peer_silent, severity::warning, "peer_silent"},
+        {event_id::records_from_peer, severity::info, "records_from_peer"},
     }};
     return catalogue;
 }
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -66,6 +66,7 @@
     records_resynchronised = 1813,
     peer_heard = 1814,
     peer_silent = 1815,
+    records_from_peer = 1816,
 };
 
 /// Catalogue entry of an event.
@@ -75,7 +76,7 @@
     std::string_view name;
 };
 
-inline constexpr std::size_t event_count = 45;
+inline constexpr std::size_t event_count = 46;
 
 /// Catalogue of all events, in order of number.
 const std::array<event_description, event_count>& event_catalogue();
--- a/Source/log_follower.cpp
+++ b/Source/log_follower.cpp
@@ -35,6 +35,7 @@
         later(options_.retry_pause, &log_follower::list_next);
         return;
     }
+    answered_ = true;
     hooks_.on_answered();
     // Pages are not a snapshot: what changes meanwhile is read after the first page's end.
     listing_end_ = listing_end_.value_or(page.log_end);
@@ -72,6 +73,7 @@
         later(options_.retry_pause, &log_follower::read_next);
         return;
     }
+    answered_ = true;
     hooks_.on_answered();
     for (mirrored_record& record : page.records) {
         mirror_.advance(record.offset + 1);
@@ -88,6 +90,7 @@
 
 void log_follower::fail(const std::string& why)
 {
+    answered_ = false;
     hooks_.on_failed(why);
 }
 
--- a/Source/log_follower.h
+++ b/Source/log_follower.h
@@ -57,6 +57,8 @@
     void start();
     /// A read waits for news at the log right now.
     bool waiting() const { return waiting_; }
+    /// The last call was answered.
+    bool answered() const { return answered_; }
 
 private:
     void list_next();
@@ -74,6 +76,7 @@
     std::optional<std::uint64_t> listing_end_; // the log's end at the first page
     std::optional<std::string> after_;
     bool waiting_ = false;
+    bool answered_ = false;
     kernel::timer timer_;
 };
 
--- a/Source/message_socket.cpp
+++ b/Source/message_socket.cpp
@@ -57,6 +57,9 @@
         socket.set(zmq::sockopt::sndhwm, options.high_water_mark);
         socket.set(zmq::sockopt::rcvhwm, options.high_water_mark);
         socket.set(zmq::sockopt::maxmsgsize, options.most_bytes);
+        if (options.dead_after_ms > 0) {
+            socket.set(zmq::sockopt::tcp_maxrt, options.dead_after_ms);
+        }
         socket.set(zmq::sockopt::reconnect_ivl, 50);
         socket.set(zmq::sockopt::reconnect_ivl_max, 1000);
     }
--- a/Source/message_socket.h
+++ b/Source/message_socket.h
@@ -18,6 +18,7 @@
 struct message_socket_options {
     int high_water_mark = 4096;         // messages queued in each direction
     std::int64_t most_bytes = 16777216; // in one message
+    int dead_after_ms = 0; // data unacknowledged for so long ends a connection; 0 never
 };
 
 /// A ZeroMQ socket that carries envelopes and lives on a libevent loop.  A bound
--- /dev/null
+++ b/Source/peer_news.cpp
@@ -0,0 +1,317 @@
+#include "peer_news.h"
+
+#include "event_log.h"
+#include "relay_knowledge.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace cyclamen {
+
+namespace {
+
+// A digest that could not be sent at once is worth nothing when the next is due.
+constexpr int most_queued = 16;
+constexpr int dead_after_ms = 2000;
+// In one digest; what is left out costs a prompt read again at most.
+constexpr std::size_t most_places = 256;
+constexpr millis tell_step = 50ms;
+constexpr millis sweep_interval = 500ms;
+
+message_socket_options socket_options()
+{
+    return {.high_water_mark = most_queued, .dead_after_ms = dead_after_ms};
+}
+
+} // namespace
+
+peer_news::peer_news(kernel& core, peer_news_options options)
+    : core_(core), options_(std::move(options))
+{
+}
+
+void peer_news::start()
+{
+    knowledge_ = &core_.find<relay_knowledge>("knowledge");
+    behind_since_.resize(mirrors_.size());
+    bound_ = message_socket::bind(core_.loop(), core_.metrics(), options_.listen.endpoint(),
+                                  [this](const std::string& route, const wire::envelope& message) {
+                                      on_message(route, message);
+                                  });
+    knowledge_->others_confirm = [this] {
+        const millis now = core_.now();
+        return std::any_of(peers_.begin(), peers_.end(), [&](const auto& row) {
+            return row.second.answering && now - row.second.heard < options_.silent_after;
+        });
+    };
+    knowledge_->newly_placed.connect([this](prompt_places::place place) {
+        for (auto& [address, row] : peers_) {
+            if (row.places.size() < most_places) {
+                row.places.push_back(place);
+            }
+        }
+    });
+    learn(options_.seeds);
+    tell_timer_ = core_.every(tell_step, [this] { tell(); });
+    sweep_timer_ = core_.every(sweep_interval, [this] { sweep(); });
+}
+
+void peer_news::learn(const std::vector<net_address>& addresses)
+{
+    for (const net_address& address : addresses) {
+        add_peer(address.text());
+    }
+}
+
+void peer_news::add_peer(const std::string& address)
+{
+    if (address == options_.listen.text() || peers_.contains(address)) {
+        return;
+    }
+    const auto parsed = net_address::parse(address);
+    if (!parsed) {
+        log_event(event_id::malformed_message, "peer_address={}", address);
+        return;
+    }
+    peer& added = peers_[address];
+    // Unheard of, it counts as an entry for as long as one that fell silent now.
+    added.heard = core_.now() - options_.silent_after;
+    added.socket = message_socket::connect(
+        core_.loop(), core_.metrics(), parsed->endpoint(), options_.listen.text(),
+        [this](const std::string& route, const wire::envelope& message) {
+            on_message(route, message);
+        },
+        socket_options());
+    entries_changed.emit();
+}
+
+millis peer_news::interval() const
+{
+    const auto peers = static_cast<unsigned>(peers_.size());
+    return options_.interval * std::max(peers, options_.interval_peers) / options_.interval_peers;
+}
+
+wire::envelope peer_news::digest(bool with_peers)
+{
+    wire::envelope message;
+    wire::relay_digest& body = *message.mutable_relay_digest();
+    body.set_address(options_.listen.text());
+    body.set_incarnation(core_.incarnation());
+    body.set_sequence(++sequence_);
+    for (const record_mirror* mirror : mirrors_) {
+        body.add_positions(mirror->position().value_or(0));
+    }
+    body.set_source_answers(source_answers && source_answers());
+    body.set_source_age_ms(static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(knowledge_->age().count(), 0, UINT32_MAX)));
+    for (const auto& [id, server] : knowledge_->backends().all()) {
+        if (server->in_flight > 0) {
+            wire::backend_count& row = *body.add_in_flight();
+            row.set_backend(static_cast<std::uint32_t>(server->hash));
+            row.set_count(server->in_flight);
+        }
+    }
+    if (with_peers) {
+        const millis now = core_.now();
+        for (const auto& [address, row] : peers_) {
+            if (now - row.heard < options_.silent_after) {
+                body.add_peers(address);
+            }
+        }
+    }
+    return message;
+}
+
+// Peers take turns, so that each hears the newest counts at its own moment.
+void peer_news::tell()
+{
+    const millis now = core_.now();
+    const millis pause = interval();
+    for (auto& [address, row] : peers_) {
+        if (now - row.told < pause) {
+            continue;
+        }
+        row.told = now;
+        wire::envelope message = digest(sequence_ % options_.peers_every < peers_.size());
+        for (const prompt_places::place& place : row.places) {
+            wire::prompt_place& added = *message.mutable_relay_digest()->add_places();
+            added.set_part(place.first);
+            added.set_backend(place.second);
+        }
+        row.places.clear();
+        row.socket->send({}, std::move(message));
+    }
+}
+
+void peer_news::on_message(const std::string& route, const wire::envelope& message)
+{
+    switch (message.body_case()) {
+    case wire::envelope::kRelayDigest:
+        take_digest(message.relay_digest());
+        return;
+    case wire::envelope::kRecordRequest:
+        hand_on(route, message.record_request());
+        return;
+    case wire::envelope::kRecordBatch:
+        take_batch(message.record_batch());
+        return;
+    default:
+        log_event(event_id::malformed_message, "body={}", static_cast<int>(message.body_case()));
+    }
+}
+
+void peer_news::take_digest(const wire::relay_digest& digest)
+{
+    add_peer(digest.address());
+    for (const std::string& address : digest.peers()) {
+        add_peer(address);
+    }
+    const auto found = peers_.find(digest.address());
+    if (found == peers_.end()) {
+        return; // its address cannot be read
+    }
+    peer& from = found->second;
+    if (from.incarnation == digest.incarnation() && digest.sequence() <= from.sequence) {
+        return;
+    }
+    if (core_.now() - from.heard >= options_.silent_after) {
+        log_event(event_id::peer_heard, "peer={} entries={}", digest.address(), entries());
+    }
+    from.incarnation = digest.incarnation();
+    from.sequence = digest.sequence();
+    from.heard = core_.now();
+    from.answering = digest.source_answers();
+    take_counts(digest.address(), digest);
+    for (const wire::prompt_place& place : digest.places()) {
+        knowledge_->placed_by_peer({place.part(), place.backend()});
+    }
+    compare(digest.address(), digest);
+}
+
+void peer_news::take_counts(const std::string& address, const wire::relay_digest& digest)
+{
+    std::map<std::uint32_t, unsigned> counts;
+    for (const wire::backend_count& row : digest.in_flight()) {
+        counts[row.backend()] = row.count();
+    }
+    knowledge_->backends().set_elsewhere(address, std::move(counts));
+}
+
+void peer_news::compare(const std::string& address, const wire::relay_digest& digest)
+{
+    bool level = static_cast<std::size_t>(digest.positions_size()) == mirrors_.size();
+    for (std::size_t log = 0; level && log < mirrors_.size(); ++log) {
+        level = mirrors_[log]->position().value_or(0) >= digest.positions(static_cast<int>(log));
+    }
+    if (level && digest.source_answers()) {
+        knowledge_->confirmed_by_peer(millis(digest.source_age_ms()));
+    }
+    const millis now = core_.now();
+    for (std::size_t log = 0; log < mirrors_.size(); ++log) {
+        if (static_cast<int>(log) >= digest.positions_size()) {
+            return;
+        }
+        const std::uint64_t own = mirrors_[log]->position().value_or(0);
+        if (digest.positions(static_cast<int>(log)) <= own) {
+            continue;
+        }
+        std::optional<millis>& since = behind_since_[log];
+        since = since.value_or(now);
+        if (now - *since < options_.patience) {
+            continue;
+        }
+        since = now;
+        wire::envelope message;
+        message.mutable_record_request()->set_log(static_cast<std::uint32_t>(log));
+        message.mutable_record_request()->set_from(own);
+        peers_.at(address).socket->send({}, std::move(message));
+    }
+}
+
+void peer_news::hand_on(const std::string& route, const wire::record_request& request)
+{
+    if (request.log() >= mirrors_.size()) {
+        return;
+    }
+    const record_mirror& mirror = *mirrors_[request.log()];
+    if (!mirror.position()) {
+        return;
+    }
+    wire::envelope message;
+    wire::record_batch& batch = *message.mutable_record_batch();
+    batch.set_log(request.log());
+    batch.set_end(*mirror.position());
+    for (const mirrored_record& record : mirror.since(request.from())) {
+        wire::keyed_record& row = *batch.add_records();
+        row.set_key(record.key);
+        row.set_offset(record.offset);
+        if (record.value) {
+            row.set_value(*record.value);
+        }
+    }
+    bound_->send(route, std::move(message));
+}
+
+void peer_news::take_batch(const wire::record_batch& batch)
+{
+    if (batch.log() >= mirrors_.size()) {
+        return;
+    }
+    record_mirror& mirror = *mirrors_[batch.log()];
+    log_event(event_id::records_from_peer, "log={} records={} end={} before={}", batch.log(),
+              batch.records_size(), batch.end(), mirror.position().value_or(0));
+    for (const wire::keyed_record& row : batch.records()) {
+        mirror.take({.key = row.key(),
+                     .value = row.has_value() ? std::optional<std::string>(row.value())
+                                              : std::nullopt,
+                     .offset = row.offset()});
+    }
+    mirror.advance(batch.end());
+    behind_since_[batch.log()].reset();
+    const bool all = std::all_of(mirrors_.begin(), mirrors_.end(), [](const record_mirror* known) {
+        return known->position().has_value();
+    });
+    if (all) {
+        knowledge_->complete();
+    }
+}
+
+void peer_news::sweep()
+{
+    const millis now = core_.now();
+    for (std::size_t log = 0; log < mirrors_.size(); ++log) {
+        const std::optional<millis>& since = behind_since_[log];
+        if (since && now - *since > options_.silent_after) {
+            behind_since_[log].reset();
+        }
+    }
+    std::vector<std::string> gone;
+    for (const auto& [address, row] : peers_) {
+        const millis silence = now - row.heard;
+        if (silence >= options_.silent_after &&
+            knowledge_->backends().set_elsewhere(address, {})) {
+            log_event(event_id::peer_silent, "peer={} silent_ms={} entries={}", address,
+                      silence.count(), entries());
+        }
+        if (silence >= options_.forgotten_after) {
+            gone.push_back(address);
+        }
+    }
+    for (const std::string& address : gone) {
+        peers_.erase(address);
+        entries_changed.emit();
+    }
+}
+
+nlohmann::json peer_news::describe() const
+{
+    nlohmann::json rows;
+    for (const auto& [address, row] : peers_) {
+        rows[address] = {{"heard_ms_ago", (core_.now() - row.heard).count()},
+                         {"source_answers", row.answering}};
+    }
+    return {{"listen", options_.listen.text()}, {"entries", entries()}, {"peers", rows}};
+}
+
+} // namespace cyclamen
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -132,7 +132,11 @@
     }
     const backend_choice choice = context_.chooser.choose(
         context_.knowledge.backends(), *service,
-        {.service = service_, .prompt = placement_part(), .tried = &tried_}, context_.core.now());
+        {.service = service_,
+         .prompt = placement_part(),
+         .places = &context_.knowledge.places(),
+         .tried = &tried_},
+        context_.core.now());
     if (choice.server == nullptr) {
         wait_for_backend(choice);
         return;
@@ -163,6 +167,10 @@
     tried_.insert(backend_id_);
     ++server.in_flight;
     sent_at_ = context_.core.now();
+    if (const auto part = placement_part()) {
+        context_.knowledge.placed(
+            {static_cast<std::uint32_t>(*part), static_cast<std::uint32_t>(server.hash)});
+    }
     failure_.reset();
     mode_ = body_mode::discard;
     events_.restart();
@@ -185,10 +193,11 @@
     const bool once = !attempts_->repeatable();
     connection_ = context_.connections.take(backend_id_, server.entry.address, once);
     log_event(event_id::backend_chosen,
-              "request={} route={} backend={} zone={} reason={} rank={} load={} mean={:.1f} pool={} "
+              "request={} route={} prompt={:x} backend={} zone={} reason={} rank={} kept={} load={} "
+              "mean={:.1f} pool={} "
               "cold={} try={} left_ms={} version={} source_age_ms={} listed_age_ms={}",
-              facts_.id, route_->name, backend_id_, server.entry.zone, choice.reason, choice.rank,
-              choice.load, choice.mean, choice.pool, server.cold(sent_at_), tried_.size(),
+              facts_.id, route_->name, placement_part().value_or(0), backend_id_,
+              server.entry.zone, choice.reason, choice.rank, choice.kept, choice.load, choice.mean, choice.pool, server.cold(sent_at_), tried_.size(),
               facts.time_left.count(), table_->version(), context_.knowledge.age().count(),
               (sent_at_ - server.listed_at).count());
     connection_->call(request, body_,
--- a/Source/relay_knowledge.cpp
+++ b/Source/relay_knowledge.cpp
@@ -1,6 +1,7 @@
 #include "relay_knowledge.h"
 
 #include "event_log.h"
+#include "hashing.h"
 
 #include <fmt/ranges.h>
 #include <nlohmann/json.hpp>
@@ -16,8 +17,11 @@
 void relay_knowledge::start()
 {
     sweep_ = core_.every(sweep_interval, [this] {
-        check_source();
+        if (complete_ && age() > options_.fresh_for) {
+            lose_source("silent");
+        }
         backends_.sweep(core_.now());
+        places_.sweep(core_.now());
     });
 }
 
@@ -42,7 +46,11 @@
     const bool changed = known == nullptr || known->entry.draining != entry.draining ||
                          known->entry.started_at != entry.started_at ||
                          (known->entry.cold_for == 0ms) != (entry.cold_for == 0ms);
-    if (backends_.put(entry, core_.now()) && changed) {
+    const backend_table::news news = backends_.put(entry, core_.now());
+    if (news == backend_table::news::new_incarnation) {
+        places_.forget_server(static_cast<std::uint32_t>(hash_of(entry.id)));
+    }
+    if (news != backend_table::news::older && changed) {
         log_event(event_id::backend_listed,
                   "backend={} service={} zone={} address={} draining={} cold_ms={} started_at={} "
                   "sequence={}",
@@ -89,7 +97,26 @@
     }
 }
 
-void relay_knowledge::source_lost(const std::string& why)
+void relay_knowledge::confirmed_by_peer(millis ago)
+{
+    confirmed_at_ = std::max(confirmed_at_, core_.now() - ago);
+}
+
+void relay_knowledge::placed(prompt_places::place place)
+{
+    if (places_.note(place, core_.now())) {
+        newly_placed.emit(place);
+    }
+}
+
+void relay_knowledge::source_failed(const std::string& why)
+{
+    if (!others_confirm || !others_confirm()) {
+        lose_source(why);
+    }
+}
+
+void relay_knowledge::lose_source(const std::string& why)
 {
     if (!lost_) {
         lost_ = true;
@@ -99,13 +126,6 @@
     }
 }
 
-void relay_knowledge::check_source()
-{
-    if (complete_ && age() > options_.fresh_for) {
-        source_lost("silent");
-    }
-}
-
 nlohmann::json relay_knowledge::describe() const
 {
     nlohmann::json servers;
--- a/Source/relay_knowledge.h
+++ b/Source/relay_knowledge.h
@@ -2,6 +2,7 @@
 
 #include "backend_table.h"
 #include "kernel.h"
+#include "prompt_places.h"
 #include "route_table.h"
 #include "service.h"
 
@@ -17,7 +18,7 @@
 struct relay_knowledge_options {
     // Knowledge that no source confirmed for so long is stale: a route or key that it
     // lacks may be there.
-    millis fresh_for = 2500ms;
+    millis fresh_for = 5500ms;
 };
 
 /// What an entry that sends straight to backend servers knows: configuration, orders and
@@ -41,9 +42,18 @@
     void take_zones_out(std::set<std::string> zones);
     /// All there is was read at least once.
     void complete();
-    /// A source has confirmed that there is nothing newer.
+    /// The own source has confirmed that there is nothing newer.
     void confirmed();
-    void source_lost(const std::string& why);
+    /// A peer that knows as much has heard so from its source, `ago`.
+    void confirmed_by_peer(millis ago);
+    /// The own source does not answer.  It counts as lost unless a peer's does.
+    void source_failed(const std::string& why);
+
+    /// A prompt that begins with this part was sent to a server by this entry.
+    void placed(prompt_places::place place);
+    /// The same, by a peer.
+    void placed_by_peer(prompt_places::place place) { places_.note(place, core_.now()); }
+    const prompt_places& places() const { return places_; }
 
     /// The configuration in force; none before the first was read.
     std::shared_ptr<const route_table> routes() const { return routes_; }
@@ -55,14 +65,19 @@
 
     /// Raised when a new configuration came into force.
     sigc::signal<void()> configured;
+    /// Raised when this entry has sent a prompt where it was not known to be.
+    sigc::signal<void(prompt_places::place)> newly_placed;
+    /// The source of a peer answers; set by what knows peers.
+    std::function<bool()> others_confirm;
 
 private:
-    void check_source();
+    void lose_source(const std::string& why);
 
     kernel& core_;
     relay_knowledge_options options_;
     std::shared_ptr<const route_table> routes_;
     backend_table backends_;
+    prompt_places places_;
     bool complete_ = false;
     bool lost_ = false;
     millis confirmed_at_{0};
--- a/Source/relay_port.cpp
+++ b/Source/relay_port.cpp
@@ -28,9 +28,15 @@
 }
 
 relay_port::~relay_port()
+{
+    stop_listening();
+}
+
+void relay_port::stop_listening()
 {
     if (listener_ != nullptr) {
         evconnlistener_free(listener_);
+        listener_ = nullptr;
     }
 }
 
@@ -149,16 +155,10 @@
 {
     connections_.sweep(
         [this](const std::string& id) { return knowledge_->backends().find(id) != nullptr; });
-    if (!stopping_since_) {
-        return;
-    }
-    const millis since = core_.now() - *stopping_since_;
-    if (since >= options_.stop_notice) {
-        close_idle_callers();
-    }
-    if (since < options_.stop_grace) {
-        return;
-    }
+}
+
+void relay_port::abort_open()
+{
     std::vector<relay_exchange*> open;
     for (const auto& [key, row] : callers_) {
         if (row.exchange != nullptr) {
@@ -176,6 +176,11 @@
     for (const auto& [key, row] : callers_) {
         row.connection->close_after_answer();
     }
+    notice_timer_ = core_.after(options_.stop_notice, [this] {
+        stop_listening();
+        close_idle_callers();
+    });
+    grace_timer_ = core_.after(options_.stop_grace, [this] { abort_open(); });
 }
 
 void relay_port::close_idle_callers()
--- a/Source/relay_port.h
+++ b/Source/relay_port.h
@@ -25,8 +25,9 @@
 struct relay_port_options {
     net_address listen;
     std::size_t most_callers = 2500; // connections; more are closed unread
-    // From "not ready" until the balancer has noticed and sends no new connections.
-    millis stop_notice = 3000ms;
+    // From "not ready" until the balancer has noticed and sends no new connections; any
+    // that still come are refused, so that their callers go elsewhere at once.
+    millis stop_notice = 2500ms;
     // From the begin of a stop to its end, whatever is still open.
     millis stop_grace = 7500ms;
     relay_exchange_options exchange;
@@ -64,6 +65,8 @@
     void bury();
     void sweep();
     void close_idle_callers();
+    void abort_open();
+    void stop_listening();
 
     kernel& core_;
     relay_port_options options_;
@@ -80,7 +83,8 @@
     std::vector<std::unique_ptr<caller_connection>> closed_;
     kernel::timer burial_;
     kernel::timer sweep_;
-    kernel::timer stop_timer_;
+    kernel::timer notice_timer_;
+    kernel::timer grace_timer_;
     std::optional<millis> stopping_since_;
     unsigned entries_ = 1;
 };
--- a/Tests/Relay/relay_harness.cpp
+++ b/Tests/Relay/relay_harness.cpp
@@ -238,12 +238,12 @@
     return std::stoi(received_.substr(at + 9, 3));
 }
 
-relay_harness::relay_harness(relay_port_options options)
+relay_harness::relay_harness(relay_port_options options, relay_knowledge_options knowledge)
     : port_(free_port()), core_({.program = "relay_harness", .instance = "test", .random_seed = 7})
 {
     options.listen = {.host = "127.0.0.1", .port = port_};
     options.chooser.zone = std::string("a");
-    knowledge_ = &core_.add(std::make_unique<relay_knowledge>(core_, relay_knowledge_options{}));
+    knowledge_ = &core_.add(std::make_unique<relay_knowledge>(core_, knowledge));
     relay_ = &core_.add(
         std::make_unique<relay_port>(core_, std::move(options), platform::make_dialect()));
     knowledge_->start();
--- a/Tests/Relay/relay_harness.h
+++ b/Tests/Relay/relay_harness.h
@@ -93,7 +93,8 @@
 /// thread: nothing happens but while the test waits for a condition.
 class relay_harness {
 public:
-    explicit relay_harness(cyclamen::relay_port_options options = {});
+    explicit relay_harness(cyclamen::relay_port_options options = {},
+                           cyclamen::relay_knowledge_options knowledge = {});
 
     /// Runs the relay until `condition` holds; false if it does not within five seconds.
     bool wait_for(const std::function<bool()>& condition);
--- a/Tests/Relay/relay_knowledge_test.cpp
+++ b/Tests/Relay/relay_knowledge_test.cpp
@@ -27,7 +27,7 @@
 
 TEST(relay_knowledge, a_stale_configuration_refuses_no_unknown_route_or_key_for_good)
 {
-    relay_harness fleet;
+    relay_harness fleet({}, {.fresh_for = 300ms});
     fleet.configure(relay_harness::configuration());
     EXPECT_EQ(status_of(fleet, get("/none/")), 404);
     EXPECT_TRUE(fleet.wait_for([&] { return !fleet.knowledge().fresh(); }));
@@ -37,7 +37,7 @@
 
 TEST(relay_knowledge, a_stale_configuration_still_serves_what_it_holds)
 {
-    relay_harness fleet;
+    relay_harness fleet({}, {.fresh_for = 300ms});
     scripted_backend& shop = fleet.add_backend("s1");
     fleet.configure(relay_harness::configuration());
     ASSERT_TRUE(fleet.wait_for([&] { return !fleet.knowledge().fresh(); }));
@@ -91,6 +91,7 @@
     EXPECT_TRUE(fleet.wait_for([&] { return late.status() == 404 && late.ended(); }));
     EXPECT_TRUE(fleet.wait_for([&] { return idle.ended(); }));
     EXPECT_FALSE(fleet.relay().idle());
+    EXPECT_THROW(fleet.add_caller(), std::runtime_error); // refused: it goes elsewhere
     shop.answer(0, answer_of("q1", "seen"));
     ASSERT_TRUE(fleet.wait_for([&] { return open.ended(); }));
     EXPECT_TRUE(open.received().ends_with("seen"));
