--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -46,17 +46,16 @@
         }
     };
     facts_ = context_.dialect.read_request(caller_->request());
+    deadline_ = began_ + facts_.deadline.value_or(context_.options.default_deadline);
     if (!admit_request()) {
         return;
     }
     attempts_ = std::make_unique<direct_attempts>(
         direct_attempts_options{}, route_->kind, route_->resumable, route_->most_backends,
         direct_attempts::hooks{.take_retry = [this] { return context_.retries.take(service_); }});
-    millis most = facts_.deadline.value_or(context_.options.default_deadline);
     if (route_->timeout > 0ms) {
-        most = std::min(most, route_->timeout);
+        deadline_ = std::min(deadline_, began_ + route_->timeout);
     }
-    deadline_ = began_ + most;
     const millis until = deadline_ + context_.options.answer_slack - context_.core.now();
     deadline_timer_ =
         context_.core.after(std::max(1ms, until), [this] { deadline_passed(); });
@@ -327,20 +326,33 @@
 {
     relay_refusal why{.status = status, .reason = reason};
     if (status == unavailable) {
-        const relay_exchange_options& options = context_.options;
-        millis wait = context_.core.jittered(options.least_retry_after * 2);
-        if (deadline_ > 0ms) {
-            const auto most = std::chrono::duration_cast<millis>(
-                std::max(0ms, time_left()) * options.retry_after_share);
-            wait = std::min(wait, most);
-        }
-        why.retry_after = std::min(wait, options.most_retry_after);
+        why.retry_after = retry_after();
     }
     status_ = status;
     caller_->refuse(why);
     end(reason);
 }
 
+// An entry that knows nothing yet cannot serve a return either until its source is back,
+// which takes seconds.  Other refusals pass quickly, and elsewhere.
+millis relay_exchange::retry_after() const
+{
+    const relay_exchange_options& options = context_.options;
+    const auto share_of_time = [&](double share) {
+        return std::chrono::duration_cast<millis>(std::max(0ms, time_left()) * share);
+    };
+    if (table_ == nullptr) {
+        constexpr int spread_from = 2;
+        constexpr int spread_parts = 3;
+        const millis latest = share_of_time(options.unknowing_share);
+        const millis earliest = latest * spread_from / spread_parts;
+        const auto span = static_cast<std::uint64_t>((latest - earliest).count()) + 1;
+        return earliest + millis(static_cast<std::int64_t>(context_.core.random() % span));
+    }
+    return std::min(context_.core.jittered(options.retry_after),
+                    share_of_time(options.retry_after_share));
+}
+
 void relay_exchange::give_up(const std::string& reason)
 {
     if (head_passed_) {
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -28,9 +28,13 @@
     // A request that no server may take now waits so long, in eighths of its route's target.
     unsigned wait_eighths = 1;
     millis wait_step = 20ms;       // between two choices of a waiting request
-    millis least_retry_after = 150ms; // for refused callers, spread over twice to ...
-    millis most_retry_after = 900ms;
-    double retry_after_share = 0.3; // of the time left, at most: callers honour a third
+    // For refused callers; spread from half of it to one and a half times.
+    millis retry_after = 300ms;
+    // Of the time left, at most: callers honour a third of it.
+    double retry_after_share = 0.3;
+    // Refused callers that have few tries left return when a lost source is likely back:
+    // this share of their time, spread from two thirds of it on.
+    double unknowing_share = 0.3;
     std::size_t most_unsent = 262144; // bytes that wait for a slow caller
 };
 
@@ -74,6 +78,7 @@
     void attempt_ended(attempt_end end);
     void finish_answer();
     void refuse(int status, const std::string& reason);
+    millis retry_after() const;
     void give_up(const std::string& reason);
     void deadline_passed();
     void caller_left();
