Read the logs at three entries for all; weigh long prompts at the load bound

Change: three entries read, the others take records from peers; 250 ms between two reads that brought news; long prompts may pass the bound by one request more, short ones give way.

--- a/Source/backend_chooser.cpp
+++ b/Source/backend_chooser.cpp
@@ -78,7 +78,10 @@
     pool.mean = table.mean_load(service.name, now);
     pool.bad_share = ends > 0 ? bad / ends : 0;
     choice.mean = pool.mean;
-    const double bound = options_.load_multiple * pool.mean + options_.load_margin;
+    const double margin = wish.prompt_tokens >= options_.long_prompt_tokens
+                              ? options_.long_prompt_margin
+                              : options_.load_margin;
+    const double bound = options_.load_multiple * pool.mean + margin;
 
     // Servers under suspicion, or over the bound, are better than none.
     backend* spare = nullptr;
--- a/Source/backend_chooser.h
+++ b/Source/backend_chooser.h
@@ -14,7 +14,11 @@
 struct backend_chooser_options {
     std::string zone;           // of this entry
     double load_multiple = 2.0; // of the pool's mean that a server may hold
-    double load_margin = 2.0;   // requests that it may hold beyond that
+    double load_margin = 1.5;   // requests that it may hold beyond that
+    // The same for a prompt whose shared parts are long: reading them anew elsewhere costs
+    // more than the wait behind one request more.
+    double long_prompt_margin = 2.5;
+    unsigned long_prompt_tokens = 4096; // an engine reads about as many in one step
     unsigned local_lead = 2;    // requests by which a server in another zone has to be freer
     double cold_share = 0.8;    // of what a cold server bears, given out by all entries
 };
@@ -23,6 +27,7 @@
 struct backend_wish {
     std::string service;
     std::optional<std::uint64_t> prompt; // hash of the part of the prompt to look for
+    unsigned prompt_tokens = 0;            // of the parts that are shared
     const prompt_places* places = nullptr; // servers that keep it
     const std::set<std::string>* tried = nullptr; // ids that are not to be chosen again
 };
--- a/Source/caller_connection.cpp
+++ b/Source/caller_connection.cpp
@@ -290,6 +290,12 @@
 
 void caller_connection::timed_out()
 {
+    // Bytes may have come while the process was busy with something else.
+    if (state_ == stage::reading && !reader_.begun() &&
+        evbuffer_get_length(bufferevent_get_input(channel_)) > 0) {
+        read();
+        return;
+    }
     if (state_ == stage::reading && reader_.begun()) {
         keep_ = false;
         state_ = stage::waiting;
--- a/Source/log_follower.cpp
+++ b/Source/log_follower.cpp
@@ -55,6 +55,15 @@
 }
 
 void log_follower::read_next()
+{
+    if (hooks_.should_read && !hooks_.should_read()) {
+        later(options_.pause, &log_follower::read_next);
+        return;
+    }
+    read_now();
+}
+
+void log_follower::read_now()
 {
     waiting_ = options_.wait > 0ms;
     hooks_.read(mirror_.position().value_or(0), options_.wait,
@@ -80,12 +89,12 @@
         mirror_.take(std::move(record));
     }
     hooks_.on_taken();
-    const bool more = mirror_.position().value_or(0) < page.log_end;
-    if (more || options_.wait > 0ms) {
-        read_next();
+    if (mirror_.position().value_or(0) < page.log_end) {
+        read_now();
         return;
     }
-    later(options_.pause, &log_follower::read_next);
+    later(page.records.empty() && options_.wait > 0ms ? 0ms : options_.pause,
+          &log_follower::read_next);
 }
 
 void log_follower::fail(const std::string& why)
--- a/Source/log_follower.h
+++ b/Source/log_follower.h
@@ -30,7 +30,7 @@
 struct log_follower_options {
     std::string name;          // of the log, for logs
     millis wait{0};            // that a read may be kept waiting for news; 0 asks at once
-    millis pause = 700ms;      // between two reads that do not wait
+    millis pause = 250ms;      // after an answer, so that news that come together cost one
     millis retry_pause = 250ms; // after a call that failed
 };
 
@@ -44,7 +44,9 @@
             list;
         std::function<void(std::uint64_t from, millis wait, std::function<void(log_page)> on_page)>
             read;
-        /// Before the records of an answer are taken.
+        /// False while peers read for this process; nothing asks always.
+    std::function<bool()> should_read;
+    /// Before the records of an answer are taken.
         std::function<void()> on_answered;
         std::function<void(const std::string& why)> on_failed;
         /// After the records of an answer were taken.
@@ -63,6 +65,7 @@
 private:
     void list_next();
     void read_next();
+    void read_now();
     void page_listed(log_page page);
     void page_read(log_page page);
     void fail(const std::string& why);
--- a/Source/peer_news.cpp
+++ b/Source/peer_news.cpp
@@ -86,6 +86,17 @@
     entries_changed.emit();
 }
 
+bool peer_news::reads_for_itself() const
+{
+    const millis now = core_.now();
+    const std::string own = options_.listen.text();
+    const auto others = std::count_if(peers_.begin(), peers_.end(), [&](const auto& row) {
+        return row.first < own && row.second.answering &&
+               now - row.second.heard < options_.silent_after;
+    });
+    return others < static_cast<std::ptrdiff_t>(options_.readers);
+}
+
 millis peer_news::interval() const
 {
     const auto peers = static_cast<unsigned>(peers_.size());
@@ -217,8 +228,9 @@
             continue;
         }
         std::optional<millis>& since = behind_since_[log];
+        const bool first = !since && !reads_for_itself();
         since = since.value_or(now);
-        if (now - *since < options_.patience) {
+        if (!first && now - *since < options_.patience) {
             continue;
         }
         since = now;
--- a/Source/peer_news.h
+++ b/Source/peer_news.h
@@ -28,7 +28,10 @@
     unsigned peers_every = 8;        // digests from one that lists peers to the next
     millis silent_after = 1500ms;    // a peer's counts are not used any more
     millis forgotten_after = 60000ms; // a peer is not counted among the entries any more
-    // A peer that is ahead is asked only then: the log itself mostly answers sooner.
+    // Entries that read the logs, the others take what they need from these: a call to the
+    // logs' service costs more than a message between entries.
+    unsigned readers = 3;
+    // A reader asks a peer that is ahead only then: the log itself mostly answers sooner.
     millis patience = 300ms;
 };
 
@@ -48,6 +51,8 @@
     void set_mirrors(std::vector<record_mirror*> mirrors) { mirrors_ = std::move(mirrors); }
     /// Known entries, this one included, heard from or not within the last minute.
     unsigned entries() const { return static_cast<unsigned>(peers_.size()) + 1; }
+    /// This entry has to read the logs: too few peers read them for it.
+    bool reads_for_itself() const;
     /// Takes the addresses of peers from elsewhere.
     void learn(const std::vector<net_address>& addresses);
 
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -96,6 +96,15 @@
     return facts_.prompt[shared].hash;
 }
 
+unsigned relay_exchange::shared_tokens() const
+{
+    unsigned tokens = 0;
+    for (std::size_t index = 0; index + 1 < facts_.prompt.size(); ++index) {
+        tokens += facts_.prompt[index].tokens;
+    }
+    return tokens;
+}
+
 // A route's requests are split over services by weight; those that share a prompt stay
 // together.
 std::string relay_exchange::service_for_attempt()
@@ -133,6 +142,7 @@
         context_.knowledge.backends(), *service,
         {.service = service_,
          .prompt = placement_part(),
+         .prompt_tokens = shared_tokens(),
          .places = &context_.knowledge.places(),
          .tried = &tried_},
         context_.core.now());
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -88,6 +88,7 @@
     millis time_left() const;
     std::string service_for_attempt();
     std::optional<std::uint64_t> placement_part() const;
+    unsigned shared_tokens() const;
 
     relay_context context_;
     caller_connection* caller_;
--- a/Source/relay_knowledge.h
+++ b/Source/relay_knowledge.h
@@ -18,7 +18,7 @@
 struct relay_knowledge_options {
     // Knowledge that no source confirmed for so long is stale: a route or key that it
     // lacks may be there.
-    millis fresh_for = 5500ms;
+    millis fresh_for = 7000ms;
 };
 
 /// What an entry that sends straight to backend servers knows: configuration, orders and
--- a/Tests/Relay/relay_test.cpp
+++ b/Tests/Relay/relay_test.cpp
@@ -229,6 +229,23 @@
     EXPECT_EQ(shop_.requests(), 0U);
 }
 
+// A process that was busy finds a request and the end of the idle time at once.
+TEST_F(relay, answers_a_request_that_came_before_its_connection_was_found_idle)
+{
+    relay_configuration tight = relay_harness::configuration(2);
+    tight.limits.idle_time = 60ms;
+    fleet_.configure(tight);
+    scripted_caller& caller = fleet_.add_caller();
+    caller.send(get("/none/"));
+    ASSERT_TRUE(fleet_.wait_for([&] { return caller.status() == 404; }));
+    caller.send(get("/view/"));
+    const millis until = fleet_.core().now() + 100ms;
+    while (fleet_.core().now() < until) {
+        // busy
+    }
+    EXPECT_TRUE(fleet_.wait_for([&] { return shop_.requests() == 1; }));
+}
+
 TEST_F(relay, keeps_callers_to_their_limits)
 {
     relay_configuration tight = relay_harness::configuration(2);
