--- a/Source/backend_chooser.cpp
+++ b/Source/backend_chooser.cpp
@@ -59,6 +59,15 @@
     return server.cold_starts.allows(now);
 }
 
+// Against the others, since in a small pool a server's own failures raise the mean.
+bool backend_chooser::suspected(const pool_state& pool, const backend& server, millis now)
+{
+    const double bad = server.health.bad(now);
+    const double ends = pool.ends - bad - server.health.good(now);
+    constexpr double least_ends = 1; // fewer tell nothing of the others
+    return server.health.suspected(ends < least_ends ? 0 : (pool.bad - bad) / ends, now);
+}
+
 backend_choice backend_chooser::choose(backend_table& table, const relay_service& service,
                                        const backend_wish& wish, millis now)
 {
@@ -69,14 +78,11 @@
     if (pool.servers.empty()) {
         return choice;
     }
-    double bad = 0;
-    double ends = 0;
     for (const backend* server : pool.servers) {
-        bad += server->health.bad(now);
-        ends += server->health.bad(now) + server->health.good(now);
+        pool.bad += server->health.bad(now);
+        pool.ends += server->health.bad(now) + server->health.good(now);
     }
     pool.mean = table.mean_load(service.name, now);
-    pool.bad_share = ends > 0 ? bad / ends : 0;
     choice.mean = pool.mean;
     const double margin = wish.prompt_tokens >= options_.long_prompt_tokens
                               ? options_.long_prompt_margin
@@ -102,7 +108,7 @@
             continue;
         }
         const unsigned held = server->load(now);
-        if (held + 1 > bound || server->health.suspected(pool.bad_share, now)) {
+        if (held + 1 > bound || suspected(pool, *server, now)) {
             if (spare == nullptr || held < spare->load(now)) {
                 spare = server;
                 spare_rank = rank;
--- a/Source/backend_chooser.h
+++ b/Source/backend_chooser.h
@@ -50,6 +50,7 @@
 public:
     explicit backend_chooser(backend_chooser_options options) : options_(std::move(options)) {}
 
+    void set_load_multiple(double multiple) { options_.load_multiple = multiple; }
     /// Entries among which the limits of a cold server are shared.
     void set_entries(unsigned entries) { entries_ = std::max(1U, entries); }
 
@@ -60,11 +61,13 @@
     struct pool_state {
         std::vector<backend*> servers;
         double mean = 0;
-        double bad_share = 0;
+        double bad = 0;  // ends of requests that tell of bad health
+        double ends = 0; // of requests
     };
 
     std::vector<backend*> order(const pool_state& pool, const backend_wish& wish, millis now) const;
     static bool keeps(const backend& server, const backend_wish& wish, millis now);
+    static bool suspected(const pool_state& pool, const backend& server, millis now);
     bool admits_cold(backend& server, const relay_service& service, millis now) const;
 
     backend_chooser_options options_;
--- a/Source/backend_health.cpp
+++ b/Source/backend_health.cpp
@@ -39,11 +39,11 @@
     bad_ += 1;
 }
 
-bool backend_health::suspected(double pool_share, millis now) const
+bool backend_health::suspected(double others_share, millis now) const
 {
     const double failed = bad(now);
     const double all = failed + good(now);
-    return failed >= options_.least_bad && failed / all > 2 * pool_share + options_.margin;
+    return failed >= options_.least_bad && failed / all > 2 * others_share + options_.margin;
 }
 
 } // namespace cyclamen
--- a/Source/backend_health.h
+++ b/Source/backend_health.h
@@ -9,7 +9,7 @@
     millis most_pause = 2000ms; // the pause doubles with each further one
     millis half_life = 3000ms;  // of the memory of good and bad ends
     double least_bad = 2.5;     // bad ends, decayed, before a server can be suspected
-    double margin = 0.15;       // by which its share of bad ends exceeds twice the pool's
+    double margin = 0.15;       // by which its share of bad ends exceeds twice the others'
 };
 
 /// How a request ended, as far as it tells of the backend server's health.
@@ -27,9 +27,9 @@
 
     /// No connection is tried before this.
     bool paused(millis now) const { return now < paused_until_; }
-    /// Its requests fail far more often than those of the pool, whose share of bad ends is
-    /// `pool_share`.
-    bool suspected(double pool_share, millis now) const;
+    /// Its requests fail far more often than those of the other servers of its pool, whose
+    /// share of bad ends is `others_share`.
+    bool suspected(double others_share, millis now) const;
     /// Decayed numbers of good and bad ends.
     double good(millis now) const { return good_ * decay(now); }
     double bad(millis now) const { return bad_ * decay(now); }
--- a/Source/relay_knowledge.cpp
+++ b/Source/relay_knowledge.cpp
@@ -90,6 +90,11 @@
 void relay_knowledge::confirmed()
 {
     confirmed_at_ = core_.now();
+    regain_source();
+}
+
+void relay_knowledge::regain_source()
+{
     if (lost_) {
         lost_ = false;
         log_event(event_id::source_regained, "backends={}", backends_.all().size());
@@ -100,6 +105,9 @@
 void relay_knowledge::confirmed_by_peer(millis ago)
 {
     confirmed_at_ = std::max(confirmed_at_, core_.now() - ago);
+    if (age() < options_.fresh_for) {
+        regain_source();
+    }
 }
 
 void relay_knowledge::placed(prompt_places::place place)
--- a/Source/relay_knowledge.h
+++ b/Source/relay_knowledge.h
@@ -19,6 +19,7 @@
     // Knowledge that no source confirmed for so long is stale: a route or key that it
     // lacks may be there.
     millis fresh_for = 7000ms;
+    backend_table_options backends;
 };
 
 /// What an entry that sends straight to backend servers knows: configuration, orders and
@@ -27,7 +28,7 @@
 class relay_knowledge : public service {
 public:
     relay_knowledge(kernel& core, relay_knowledge_options options)
-        : core_(core), options_(options)
+        : core_(core), options_(options), backends_(options.backends)
     {
     }
 
@@ -72,6 +73,7 @@
 
 private:
     void lose_source(const std::string& why);
+    void regain_source();
 
     kernel& core_;
     relay_knowledge_options options_;
--- a/Source/relay_port.cpp
+++ b/Source/relay_port.cpp
@@ -23,7 +23,7 @@
 relay_port::relay_port(kernel& core, relay_port_options options, relay_dialect dialect)
     : core_(core), options_(std::move(options)), dialect_(std::move(dialect)),
       chooser_(options_.chooser), connections_(core, options_.connections),
-      retries_(options_.retries)
+      retries_(options_.limits.retries)
 {
 }
 
@@ -67,6 +67,7 @@
         throw std::runtime_error("cannot listen for callers at " + options_.listen.text() +
                                  ": see whether another process holds the port");
     }
+    set_limits(options_.limits);
     sweep_ = core_.every(sweep_interval, [this] { sweep(); });
 }
 
@@ -75,6 +76,13 @@
     return !stopping_since_ && knowledge_ != nullptr && knowledge_->is_complete();
 }
 
+void relay_port::set_limits(const relay_limits& limits)
+{
+    options_.limits = limits;
+    chooser_.set_load_multiple(limits.load_multiple);
+    retries_.set_options(limits.retries);
+}
+
 void relay_port::set_entries(unsigned entries)
 {
     entries_ = entries;
@@ -180,7 +188,7 @@
         stop_listening();
         close_idle_callers();
     });
-    grace_timer_ = core_.after(options_.stop_grace, [this] { abort_open(); });
+    grace_timer_ = core_.after(options_.limits.stop_grace, [this] { abort_open(); });
 }
 
 void relay_port::close_idle_callers()
@@ -200,7 +208,7 @@
         return true;
     }
     const millis since = core_.now() - *stopping_since_;
-    return since >= options_.stop_grace || (since >= options_.stop_notice && callers_.empty());
+    return since >= options_.limits.stop_grace || (since >= options_.stop_notice && callers_.empty());
 }
 
 nlohmann::json relay_port::describe() const
--- a/Source/relay_port.h
+++ b/Source/relay_port.h
@@ -22,18 +22,24 @@
 
 class relay_knowledge;
 
+/// Limits that operators may change while the process runs.
+struct relay_limits {
+    // From the begin of a stop to its end, whatever is still open.
+    millis stop_grace = 7500ms;
+    double load_multiple = 2.0; // of the pool's mean that a backend server may hold
+    retry_budgets_options retries;
+};
+
 struct relay_port_options {
     net_address listen;
     std::size_t most_callers = 2500; // connections; more are closed unread
     // From "not ready" until the balancer has noticed and sends no new connections; any
     // that still come are refused, so that their callers go elsewhere at once.
     millis stop_notice = 2500ms;
-    // From the begin of a stop to its end, whatever is still open.
-    millis stop_grace = 7500ms;
+    relay_limits limits;
     relay_exchange_options exchange;
     backend_connections_options connections;
     backend_chooser_options chooser;
-    retry_budgets_options retries;
 };
 
 /// Takes callers' requests of any method, path and body and relays them straight to
@@ -53,6 +59,8 @@
     bool ready() const;
     /// Entries that share the limits which hold for all of them together.
     void set_entries(unsigned entries);
+    /// Puts changed limits in force, for requests and stops from here on.
+    void set_limits(const relay_limits& limits);
 
 private:
     struct caller {
--- a/Source/retry_budget.h
+++ b/Source/retry_budget.h
@@ -34,6 +34,13 @@
 
     double balance() const { return balance_; }
 
+    /// Changes the share and the reserve; what is saved up beyond the reserve is lost.
+    void set_options(retry_budget_options options)
+    {
+        options_ = options;
+        balance_ = balance_ < options.reserve ? balance_ : options.reserve;
+    }
+
 private:
     retry_budget_options options_;
     double balance_;
--- a/Source/retry_budgets.h
+++ b/Source/retry_budgets.h
@@ -20,17 +20,35 @@
     explicit retry_budgets(retry_budgets_options options) : options_(options) {}
 
     /// Entries among which the reserve is shared.
-    void set_entries(unsigned entries) { entries_ = std::max(1U, entries); }
+    void set_entries(unsigned entries)
+    {
+        entries_ = std::max(1U, entries);
+        apply();
+    }
+    void set_options(retry_budgets_options options)
+    {
+        options_ = options;
+        apply();
+    }
     void first_try(const std::string& service) { budget(service).first_try(); }
     bool take(const std::string& service) { return budget(service).take(); }
 
 private:
+    retry_budget_options own() const
+    {
+        return {.share = options_.share, .reserve = options_.fleet_reserve / entries_};
+    }
+
+    void apply()
+    {
+        for (auto& [service, budget] : budgets_) {
+            budget.set_options(own());
+        }
+    }
+
     retry_budget& budget(const std::string& service)
     {
-        return budgets_
-            .try_emplace(service, retry_budget_options{.share = options_.share,
-                                                       .reserve = options_.fleet_reserve / entries_})
-            .first->second;
+        return budgets_.try_emplace(service, own()).first->second;
     }
 
     retry_budgets_options options_;
--- /dev/null
+++ b/Tests/Decisions/backend_choice_test.cpp
@@ -0,0 +1,241 @@
+// Which backend server a request goes to, under loads that are named by their pattern.
+
+#include "backend_chooser.h"
+#include "hashing.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+using namespace cyclamen;
+
+namespace {
+
+constexpr millis now = 100000ms;
+
+// A pool of engines in three zones, and one service.
+struct pool {
+    explicit pool(unsigned engines, double cold_starts = 0)
+        : service{.name = "engine", .cold_starts_per_second = cold_starts, .engine = true}
+    {
+        for (unsigned index = 0; index < engines; ++index) {
+            add(index);
+        }
+    }
+
+    static std::string name(unsigned index) { return "e" + std::to_string(index); }
+
+    void add(unsigned index, millis cold_for = 0ms)
+    {
+        table.put({.id = name(index),
+                   .service = "engine",
+                   .address = {.host = "127.0.0.1", .port = static_cast<std::uint16_t>(1000 + index)},
+                   .zone = std::string(1, static_cast<char>('a' + index % 3)),
+                   .slots = 64,
+                   .cold_for = cold_for,
+                   .started_at = 1,
+                   .sequence = 1},
+                  now);
+    }
+
+    backend_choice choose(std::optional<std::uint64_t> prompt, unsigned tokens = 0, millis at = now)
+    {
+        return chooser.choose(
+            table, service,
+            {.service = "engine", .prompt = prompt, .prompt_tokens = tokens, .places = &places}, at);
+    }
+
+    // Sends a request and notes where its prompt went, as an exchange does.
+    std::string send(std::uint64_t prompt, unsigned tokens = 0)
+    {
+        backend* server = choose(prompt, tokens).server;
+        ++server->in_flight;
+        places.note({static_cast<std::uint32_t>(prompt), static_cast<std::uint32_t>(server->hash)},
+                    now);
+        return server->entry.id;
+    }
+
+    backend_table table;
+    prompt_places places;
+    relay_service service;
+    backend_chooser chooser{{.zone = "a"}};
+};
+
+} // namespace
+
+TEST(backend_choice, a_returning_prompt_goes_to_one_server_at_every_entry)
+{
+    pool here(12);
+    pool there(12);
+    for (std::uint64_t prompt = 1; prompt < 200; ++prompt) {
+        const std::uint64_t hash = hash_of(std::to_string(prompt));
+        EXPECT_EQ(here.choose(hash).server->entry.id, there.choose(hash).server->entry.id);
+    }
+}
+
+// scale_out: new servers must not draw prompts away from those that keep them.
+TEST(backend_choice, a_prompt_stays_where_it_is_kept_when_servers_are_added)
+{
+    pool engines(6);
+    std::map<std::uint64_t, std::string> homes;
+    for (std::uint64_t prompt = 1; prompt <= 100; ++prompt) {
+        const std::uint64_t hash = hash_of(std::to_string(prompt));
+        homes[hash] = engines.send(hash);
+        --engines.table.find(homes[hash])->in_flight;
+    }
+    for (unsigned added = 6; added < 10; ++added) {
+        engines.add(added);
+    }
+    for (const auto& [hash, home] : homes) {
+        EXPECT_EQ(engines.choose(hash).server->entry.id, home);
+    }
+}
+
+// hot_key: one prompt gets much of the traffic.
+TEST(backend_choice, a_hot_prompt_spreads_when_its_server_passes_the_load_bound)
+{
+    pool engines(10);
+    std::map<std::string, unsigned> held;
+    const std::uint64_t hot = hash_of("hot");
+    for (unsigned request = 0; request < 100; ++request) {
+        ++held[engines.send(hot)];
+        const double mean = engines.table.mean_load("engine", now);
+        for (const auto& [id, count] : held) {
+            EXPECT_LE(count, 2 * mean + 3) << id;
+        }
+    }
+    EXPECT_GE(held.size(), 4U);
+}
+
+// burst of long prompts beside short ones: what is dear to read again stays longer.
+TEST(backend_choice, short_prompts_give_way_to_long_ones_at_the_load_bound)
+{
+    pool engines(4);
+    const std::uint64_t prompt = hash_of("guide");
+    engines.send(prompt, 10000);
+    const std::string home = engines.send(prompt, 10000);
+    EXPECT_NE(engines.choose(prompt, 100).server->entry.id, home);
+    EXPECT_EQ(engines.choose(prompt, 10000).server->entry.id, home);
+}
+
+TEST(backend_choice, counts_of_other_entries_are_part_of_the_load)
+{
+    pool engines(3);
+    const std::uint64_t prompt = hash_of("guide");
+    backend* home = engines.choose(prompt).server;
+    engines.table.set_elsewhere("peer", {{static_cast<std::uint32_t>(home->hash), 9}});
+    EXPECT_EQ(home->load(now), 9U);
+    EXPECT_NE(engines.choose(prompt).server, home);
+    engines.table.set_elsewhere("peer", {});
+    EXPECT_EQ(engines.choose(prompt).server, home);
+}
+
+TEST(backend_choice, a_report_of_load_counts_what_others_hold_until_it_is_old)
+{
+    pool engines(1);
+    backend& server = *engines.table.find("e0");
+    server.in_flight = 2;
+    engines.table.note_load(server, {.running = 5, .waiting = 1, .slots = 64}, now);
+    EXPECT_EQ(server.load(now), 6U);
+    ++server.in_flight;
+    EXPECT_EQ(server.load(now), 7U);
+    EXPECT_EQ(server.load(now + 2000ms), 3U);
+}
+
+// evacuate: servers of a zone that is out still count for the mean of the service.
+TEST(backend_choice, the_mean_is_that_of_all_servers_of_the_service)
+{
+    pool engines(9);
+    engines.table.set_zones_out({"c"});
+    for (unsigned index = 0; index < 9; ++index) {
+        engines.table.find(pool::name(index))->in_flight = index % 3 == 2 ? 0 : 6;
+    }
+    EXPECT_DOUBLE_EQ(engines.table.mean_load("engine", now), 4.0);
+    const backend_choice choice = engines.choose(hash_of("any"));
+    EXPECT_EQ(choice.pool, 6U);
+    EXPECT_NE(choice.server->entry.zone, "c");
+}
+
+// cold_return: a zone's servers come back together, cold, while all entries send.
+TEST(backend_choice, entries_together_stay_below_what_a_cold_server_bears)
+{
+    constexpr unsigned entries = 8;
+    constexpr double bears = 11;
+    std::vector<std::unique_ptr<pool>> fleet;
+    for (unsigned index = 0; index < entries; ++index) {
+        fleet.push_back(std::make_unique<pool>(0, bears));
+        fleet.back()->chooser.set_entries(entries);
+        fleet.back()->add(0, 5000ms);
+    }
+    std::vector<millis> starts;
+    for (millis at = now; at < now + 4000ms; at += 5ms) {
+        for (const auto& entry : fleet) {
+            if (entry->choose(std::nullopt, 0, at).server != nullptr) {
+                starts.push_back(at);
+            }
+        }
+    }
+    for (std::size_t first = 0; first < starts.size(); ++first) {
+        const auto within = std::count_if(starts.begin(), starts.end(), [&](millis at) {
+            return at >= starts[first] && at < starts[first] + 1000ms;
+        });
+        EXPECT_LE(within, bears * 1.5 + 5);
+    }
+    EXPECT_GE(starts.size(), 20U);
+}
+
+TEST(backend_choice, a_plain_request_stays_in_its_zone_until_another_is_much_freer)
+{
+    pool shops(3);
+    EXPECT_EQ(shops.choose(std::nullopt).server->entry.zone, "a");
+    shops.table.find("e1")->in_flight = 2;
+    shops.table.find("e2")->in_flight = 2;
+    shops.table.find("e0")->in_flight = 4;
+    EXPECT_EQ(shops.choose(std::nullopt).server->entry.zone, "a");
+    shops.table.find("e0")->in_flight = 5;
+    EXPECT_NE(shops.choose(std::nullopt).server->entry.zone, "a");
+}
+
+// srv_grey: one server fails part of its requests while its probe is good.
+TEST(backend_choice, a_server_that_fails_far_more_than_the_pool_is_passed_over)
+{
+    pool shops(3);
+    for (unsigned request = 0; request < 30; ++request) {
+        for (unsigned index = 0; index < 3; ++index) {
+            const bool bad = index == 0 ? request % 2 == 0 : request % 10 == 0;
+            shops.table.find(pool::name(index))
+                ->health.ended(bad ? backend_outcome::bad : backend_outcome::good, now);
+        }
+    }
+    EXPECT_NE(shops.choose(std::nullopt).server->entry.id, "e0");
+    // Its bad ends are forgotten, and it is tried again.
+    EXPECT_EQ(shops.choose(std::nullopt, 0, now + 20000ms).server->entry.id, "e0");
+}
+
+TEST(backend_choice, a_pool_whose_servers_all_fail_is_not_emptied)
+{
+    pool shops(3);
+    for (unsigned index = 0; index < 3; ++index) {
+        for (unsigned request = 0; request < 20; ++request) {
+            shops.table.find(pool::name(index))->health.ended(backend_outcome::bad, now);
+        }
+    }
+    EXPECT_NE(shops.choose(std::nullopt).server, nullptr);
+}
+
+// srv_flap: each refused connection doubles the pause, a good end clears it.
+TEST(backend_choice, an_unreachable_server_rests_longer_each_time)
+{
+    backend_health health;
+    health.unreachable(now);
+    EXPECT_TRUE(health.paused(now + 199ms));
+    EXPECT_FALSE(health.paused(now + 200ms));
+    health.unreachable(now + 200ms);
+    EXPECT_TRUE(health.paused(now + 599ms));
+    for (int count = 0; count < 20; ++count) {
+        health.unreachable(now);
+    }
+    EXPECT_FALSE(health.paused(now + 2000ms));
+    health.ended(backend_outcome::good, now);
+    EXPECT_FALSE(health.paused(now));
+}
--- /dev/null
+++ b/Tests/Decisions/backend_table_test.cpp
@@ -0,0 +1,98 @@
+// What is known of backend servers while their entries come, lapse and return.
+
+#include "backend_table.h"
+
+#include <gtest/gtest.h>
+
+using namespace cyclamen;
+
+namespace {
+
+constexpr millis now = 50000ms;
+
+backend_entry entry(std::uint64_t started_at, std::uint64_t sequence, bool draining = false)
+{
+    return {.id = "e1",
+            .service = "engine",
+            .address = {.host = "127.0.0.1", .port = 1000},
+            .zone = "a",
+            .draining = draining,
+            .started_at = started_at,
+            .sequence = sequence};
+}
+
+} // namespace
+
+TEST(backend_table, an_older_entry_changes_nothing)
+{
+    backend_table table;
+    table.put(entry(5, 8, true), now);
+    EXPECT_EQ(table.put(entry(5, 7), now), backend_table::news::older);
+    EXPECT_EQ(table.put(entry(4, 99), now), backend_table::news::older);
+    EXPECT_TRUE(table.usable("engine").empty());
+}
+
+TEST(backend_table, a_server_that_began_anew_under_its_id_starts_with_nothing_known)
+{
+    backend_table table;
+    table.put(entry(5, 8), now);
+    table.note_load(*table.find("e1"), {.running = 30}, now);
+    table.unreachable(*table.find("e1"), now);
+    EXPECT_EQ(table.put(entry(6, 1), now), backend_table::news::new_incarnation);
+    EXPECT_EQ(table.find("e1")->load(now), 0U);
+    EXPECT_FALSE(table.find("e1")->health.paused(now));
+}
+
+TEST(backend_table, a_server_that_has_gone_is_dropped_at_once_while_its_source_answers)
+{
+    backend_table table;
+    table.put(entry(5, 8), now);
+    table.drop("e1", now);
+    EXPECT_EQ(table.find("e1"), nullptr);
+}
+
+// platform_down with lapse: entries expire while the source is away.
+TEST(backend_table, an_entry_that_lapsed_while_the_source_was_away_has_time_to_return)
+{
+    backend_table table;
+    table.put(entry(5, 8), now);
+    table.source_lost();
+    table.source_regained(now);
+    table.drop("e1", now);
+    EXPECT_EQ(table.usable("engine").size(), 1U);
+    table.sweep(now + 1500ms);
+    EXPECT_EQ(table.usable("engine").size(), 1U);
+    table.put(entry(5, 9), now + 1600ms);
+    table.sweep(now + 5000ms);
+    EXPECT_EQ(table.usable("engine").size(), 1U);
+}
+
+TEST(backend_table, an_entry_that_did_not_return_is_given_up)
+{
+    backend_table table;
+    table.put(entry(5, 8), now);
+    table.source_lost();
+    table.source_regained(now);
+    table.drop("e1", now);
+    table.sweep(now + 2400ms);
+    EXPECT_EQ(table.find("e1"), nullptr);
+}
+
+TEST(backend_table, a_server_that_says_it_is_cold_counts_as_cold_a_little_longer)
+{
+    backend_table table;
+    backend_entry cold = entry(5, 8);
+    cold.cold_for = 1000ms;
+    table.put(cold, now);
+    EXPECT_TRUE(table.find("e1")->cold(now + 1200ms));
+    EXPECT_FALSE(table.find("e1")->cold(now + 1300ms));
+}
+
+// srv_crash: a server that was unreachable may come back cold before its entry says so.
+TEST(backend_table, a_server_that_was_unreachable_counts_as_cold)
+{
+    backend_table table;
+    table.put(entry(5, 8), now);
+    table.unreachable(*table.find("e1"), now);
+    EXPECT_TRUE(table.find("e1")->cold(now + 1000ms));
+}
--- /dev/null
+++ b/Tests/Decisions/relay_decisions_test.cpp
@@ -0,0 +1,154 @@
+// Routes and keys, repeats, event streams and mirrored records.
+
+#include "direct_attempts.h"
+#include "event_stream_cutter.h"
+#include "prompt_places.h"
+#include "record_mirror.h"
+#include "retry_budgets.h"
+#include "route_table.h"
+
+#include <gtest/gtest.h>
+
+using namespace cyclamen;
+
+namespace {
+
+relay_configuration routes()
+{
+    relay_configuration result{.version = 3, .keys_required = true};
+    result.routes = {{.name = "short", .host = "H.example", .prefix = "/a/"},
+                     {.name = "long", .host = "h.example", .prefix = "/a/b/"},
+                     {.name = "open", .host = "h.example", .prefix = "/o/", .open = true}};
+    result.accounts = {{.name = "medlar", .keys = {"k1"}}};
+    return result;
+}
+
+} // namespace
+
+TEST(route_table, takes_the_longest_prefix_of_the_host)
+{
+    const route_table table(routes());
+    EXPECT_EQ(table.find("h.example", "/a/x")->name, "short");
+    EXPECT_EQ(table.find("h.example:8080", "/a/b/x")->name, "long");
+    EXPECT_EQ(table.find("H.EXAMPLE", "/a/b")->name, "short");
+    EXPECT_EQ(table.find("h.example", "/a"), nullptr);
+    EXPECT_EQ(table.find("h.example", "/ab/"), nullptr);
+    EXPECT_EQ(table.find("other", "/a/"), nullptr);
+}
+
+TEST(route_table, refuses_for_good_only_by_a_configuration_that_is_known_and_fresh)
+{
+    const route_table table(routes());
+    EXPECT_EQ(admit(nullptr, true, "h.example", "/a/", "k1").refused_with, 503);
+    EXPECT_EQ(admit(&table, true, "h.example", "/none/", "k1").refused_with, 404);
+    EXPECT_EQ(admit(&table, false, "h.example", "/none/", "k1").refused_with, 503);
+    EXPECT_EQ(admit(&table, true, "h.example", "/a/", "k9").refused_with, 401);
+    EXPECT_EQ(admit(&table, false, "h.example", "/a/", "k9").refused_with, 503);
+    EXPECT_EQ(admit(&table, false, "h.example", "/a/", "k1").account->name, "medlar");
+    EXPECT_EQ(admit(&table, true, "h.example", "/o/", "").refused_with, 0);
+}
+
+TEST(direct_attempts, what_may_run_once_is_sent_again_only_after_a_proof)
+{
+    const auto make = [](route_kind kind, bool resumable = false) {
+        return direct_attempts({}, kind, resumable, 2, {.take_retry = [] { return true; }});
+    };
+    for (const auto kind : {route_kind::unsafe, route_kind::stream}) {
+        direct_attempts once = make(kind);
+        EXPECT_EQ(once.after(attempt_end::not_sent), attempt_step::again);
+        EXPECT_EQ(once.after(attempt_end::rejected), attempt_step::again);
+        EXPECT_EQ(once.after(attempt_end::lost), attempt_step::unknown);
+        EXPECT_EQ(make(kind).after(attempt_end::failed), attempt_step::pass_on);
+    }
+    for (direct_attempts many : {make(route_kind::safe), make(route_kind::stream, true)}) {
+        EXPECT_EQ(many.after(attempt_end::lost), attempt_step::again);
+        EXPECT_EQ(many.after(attempt_end::failed), attempt_step::pass_on); // two servers at most
+    }
+}
+
+TEST(direct_attempts, not_run_is_told_only_while_it_is_true)
+{
+    direct_attempts refused({}, route_kind::unsafe, false, 1, {.take_retry = [] { return false; }});
+    EXPECT_EQ(refused.after(attempt_end::rejected), attempt_step::refuse);
+    direct_attempts lost({}, route_kind::safe, false, 3, {.take_retry = [] { return true; }});
+    EXPECT_EQ(lost.after(attempt_end::lost), attempt_step::again);
+    for (int count = 0; count < 3; ++count) {
+        EXPECT_EQ(lost.after(attempt_end::rejected), attempt_step::again);
+    }
+    EXPECT_EQ(lost.after(attempt_end::rejected), attempt_step::unknown);
+}
+
+// retry_abuse and srv_grey: whatever fails, repeats stay a share of the requests.
+TEST(retry_budgets, entries_together_stay_below_the_share_and_the_reserve)
+{
+    constexpr unsigned entries = 8;
+    constexpr unsigned requests = 2000; // of each entry, in one window
+    unsigned repeats = 0;
+    for (unsigned entry = 0; entry < entries; ++entry) {
+        retry_budgets budgets({});
+        budgets.set_entries(entries);
+        for (unsigned request = 0; request < requests; ++request) {
+            budgets.first_try("shop");
+            repeats += budgets.take("shop") ? 1 : 0;
+        }
+    }
+    EXPECT_LE(repeats, 0.2 * entries * requests + 56);
+    EXPECT_GE(repeats, 0.15 * entries * requests);
+}
+
+TEST(event_stream_cutter, gives_out_whole_events_only)
+{
+    event_stream_cutter events;
+    EXPECT_EQ(events.feed("id: 1\nda"), "");
+    EXPECT_EQ(events.feed("ta: a\n\nid: 2\ndata: b\n"), "id: 1\ndata: a\n\n");
+    EXPECT_EQ(events.last_id(), "1");
+    EXPECT_EQ(events.feed("\n"), "id: 2\ndata: b\n\n");
+    EXPECT_EQ(events.feed("id:3\r\ndata: c\r\n\r\nrest"), "id:3\r\ndata: c\r\n\r\n");
+    EXPECT_EQ(events.last_id(), "3");
+    EXPECT_EQ(events.partial(), "rest");
+    events.restart();
+    EXPECT_EQ(events.partial(), "");
+}
+
+TEST(record_mirror, takes_records_in_any_order_and_never_goes_back)
+{
+    std::vector<std::string> changes;
+    record_mirror mirror([&](const mirrored_record& record) {
+        changes.push_back(record.key + "=" + record.value.value_or("-"));
+    });
+    EXPECT_TRUE(mirror.take({.key = "a", .value = "2", .offset = 5}));
+    EXPECT_FALSE(mirror.take({.key = "a", .value = "1", .offset = 3}));
+    EXPECT_TRUE(mirror.take({.key = "a", .offset = 6}));
+    EXPECT_FALSE(mirror.take({.key = "a", .value = "2", .offset = 5}));
+    EXPECT_EQ(changes, (std::vector<std::string>{"a=2", "a=-"}));
+}
+
+// platform_compact: the history is dropped, and with it the record that dropped a key.
+TEST(record_mirror, a_listing_drops_keys_that_it_lacks_but_not_newer_ones)
+{
+    record_mirror mirror([](const mirrored_record& /*record*/) {});
+    mirror.take({.key = "old", .value = "1", .offset = 1});
+    mirror.take({.key = "new", .value = "1", .offset = 9});
+    mirror.take_listing({{.key = "kept", .value = "1", .offset = 2}}, 5);
+    const auto all = mirror.since(0);
+    ASSERT_EQ(all.size(), 3U);
+    EXPECT_EQ(all[0].key, "kept");
+    EXPECT_EQ(all[1].key, "old");
+    EXPECT_FALSE(all[1].value);
+    EXPECT_TRUE(all[2].value);
+    mirror.advance(3);
+    EXPECT_EQ(mirror.position(), 5U);
+}
+
+TEST(prompt_places, forget_servers_and_what_was_not_used_for_long)
+{
+    prompt_places places({.remembered = 1000ms, .most_parts = 2});
+    EXPECT_TRUE(places.note({1, 7}, 0ms));
+    EXPECT_FALSE(places.note({1, 7}, 500ms));
+    EXPECT_TRUE(places.holds(1, 7, 1400ms));
+    EXPECT_FALSE(places.holds(1, 7, 1500ms));
+    EXPECT_TRUE(places.note({2, 7}, 0ms));
+    EXPECT_FALSE(places.note({3, 7}, 0ms)); // no room
+    places.forget_server(7);
+    EXPECT_EQ(places.size(), 0U);
+}
--- /dev/null
+++ b/Tests/Platform/platform_test.cpp
@@ -0,0 +1,146 @@
+// How the platform's formats are read and written.
+
+#include "platform_codec.h"
+#include "platform_dialect.h"
+#include "platform_settings.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+using namespace cyclamen;
+using namespace cyclamen::platform;
+
+namespace {
+
+const nlohmann::json good_settings = nlohmann::json::parse(R"({
+  "NodeName": "n1", "Zone": "z1", "Ip": "127.0.0.1", "Unknown": [1],
+  "Listen": {"Frontend": "127.0.0.1:1001", "Readiness": "127.0.0.1:1002"},
+  "PortRange": [7000, 7010], "Seeds": ["127.0.0.2:1003"], "HeartbeatMs": 1200,
+  "Bounds": {"GraceS": 8, "RetryBudgetRatio": 0.2, "BudgetExtra": 56, "CapMultiplier": 2},
+  "Platform": {"Address": "127.0.0.1:1004"}})");
+
+const nlohmann::json good_backend = nlohmann::json::parse(R"({
+  "Service": "s", "Address": "127.0.0.1:80", "Zone": "z", "Version": "v1", "Capacity": 64,
+  "State": "ready", "ColdRemainingMs": 1500, "Sequence": 4, "born": 77})");
+
+std::optional<backend_entry> decode(const nlohmann::json& document)
+{
+    std::string why;
+    return decode_backend("i-1", document.dump(), why);
+}
+
+} // namespace
+
+TEST(platform_settings, are_read_and_unknown_fields_left_alone)
+{
+    std::vector<finding> findings;
+    const auto read = parse_settings(good_settings.dump(), "node.json", findings);
+    ASSERT_TRUE(read) << report(findings);
+    EXPECT_EQ(read->callers.text(), "127.0.0.1:1001");
+    EXPECT_EQ(read->stop_grace, 8000ms);
+    EXPECT_EQ(read->seeds.size(), 1U);
+}
+
+TEST(platform_settings, tell_all_faults_together_with_their_place)
+{
+    nlohmann::json bad = good_settings;
+    bad["Zone"] = 7;
+    bad["Listen"].erase("Readiness");
+    bad["Platform"]["Address"] = "nowhere";
+    bad["Bounds"]["GraceS"] = 0;
+    std::vector<finding> findings;
+    EXPECT_FALSE(parse_settings(bad.dump(), "node.json", findings));
+    const std::string text = report(findings);
+    for (const char* place :
+         {"/Zone: is a number", "/Listen/Readiness: is missing", "/Platform/Address: `nowhere`",
+          "/Bounds/GraceS: 0 is too small"}) {
+        EXPECT_NE(text.find(place), std::string::npos) << place << " in\n" << text;
+    }
+}
+
+TEST(platform_settings, name_the_line_of_a_syntax_fault_and_a_file_that_is_not_there)
+{
+    std::vector<finding> findings;
+    EXPECT_FALSE(parse_settings("{\n \"Zone\": \"z\"\n oops", "node.json", findings));
+    ASSERT_EQ(findings.size(), 1U);
+    EXPECT_EQ(findings[0].line, 3);
+    EXPECT_FALSE(read_settings("/no/such/file", findings));
+    EXPECT_NE(report(findings).find("No such file"), std::string::npos);
+}
+
+TEST(platform_codec, an_entry_of_a_strange_writer_names_no_server)
+{
+    ASSERT_TRUE(decode(good_backend));
+    EXPECT_EQ(decode(good_backend)->started_at, 77U);
+    EXPECT_EQ(decode(good_backend)->cold_for, 1500ms);
+    for (const char* field : {"Service", "Address", "Zone", "Version", "Capacity", "State",
+                              "ColdRemainingMs", "Sequence"}) {
+        nlohmann::json strange = good_backend;
+        strange.erase(field);
+        EXPECT_FALSE(decode(strange)) << field << " missing";
+        strange[field] = nlohmann::json::array({1});
+        EXPECT_FALSE(decode(strange)) << field << " of another type";
+    }
+    nlohmann::json strange = good_backend;
+    strange["State"] = "sleeping";
+    EXPECT_FALSE(decode(strange));
+    std::string why;
+    EXPECT_FALSE(decode_backend("i-1", "\x01\xff{", why));
+    EXPECT_FALSE(why.empty());
+}
+
+TEST(platform_codec, a_configuration_is_decoded_into_the_products_words)
+{
+    std::string why;
+    const auto read = decode_configuration(R"({"Version": 7,
+      "Routes": [{"Name": "r", "Hostname": "h", "PathPrefix": "/p/", "Type": "streaming",
+        "TimeoutMs": 15000, "TargetLatencyMs": 800, "Priority": 1, "MaxAttempts": 2,
+        "Backends": [{"Service": "a", "Weight": 90}, {"Service": "b", "Weight": 10}],
+        "SessionAffinity": true, "StreamResume": true, "GapTargetMs": 500},
+        {"Name": "q", "Hostname": "h", "PathPrefix": "/q/", "Type": "novel", "Service": "a"}],
+      "Services": [{"Name": "a", "ColdPerS": 11.0, "Engine": {"Capacity": 64}}],
+      "Limits": {"MaxHeaderBytes": 100}, "Tenants": [{"Name": "t", "ApiKeys": ["k"]}]})",
+                                           why);
+    ASSERT_TRUE(read) << why;
+    EXPECT_EQ(read->routes[0].services.size(), 2U);
+    EXPECT_TRUE(read->routes[0].resumable);
+    EXPECT_EQ(read->routes[1].kind, route_kind::unsafe); // a kind that is not known
+    EXPECT_TRUE(read->services.at("a").engine);
+    EXPECT_EQ(read->limits.head_bytes, 100U);
+    EXPECT_TRUE(read->keys_required);
+    EXPECT_FALSE(decode_configuration("{\"Version\": \"x\"}", why));
+}
+
+TEST(platform_dialect, reads_what_callers_and_servers_say)
+{
+    const relay_dialect dialect = make_dialect();
+    http_head request;
+    request.headers = {{"attempt-id", "q1"},
+                       {"Deadline-Ms", "1500"},
+                       {"Authorization", "bearer key"},
+                       {"Prefix-Hash", "5c1e:800,91bd:410,e440:250"}};
+    const request_facts facts = dialect.read_request(request);
+    EXPECT_EQ(facts.id, "q1");
+    EXPECT_EQ(facts.deadline, 1500ms);
+    EXPECT_EQ(facts.key, "key");
+    ASSERT_EQ(facts.prompt.size(), 3U);
+    EXPECT_EQ(facts.prompt[1].tokens, 410U);
+
+    http_head answer;
+    answer.headers = {{"Instance-Load", "3,1,8"}, {"Not-Executed", "1"}};
+    EXPECT_TRUE(dialect.read_answer(answer).not_run);
+    EXPECT_EQ(dialect.read_answer(answer).load->waiting, 1U);
+    answer.headers = {{"Instance-Load", "3,x"}};
+    EXPECT_FALSE(dialect.read_answer(answer).load);
+}
+
+TEST(platform_dialect, tells_an_engine_the_requests_urgency)
+{
+    const relay_dialect dialect = make_dialect();
+    http_head request;
+    request.headers = {{"Prefix-Hash", "5c1e:800"}};
+    const http_head sent = dialect.write_request(request, {.time_left = 70ms, .priority = 12U});
+    EXPECT_EQ(sent.header_or("Request-Priority", ""), "9");
+    EXPECT_EQ(sent.header_or("Deadline-Ms", ""), "70");
+}
--- a/Tests/Relay/relay_knowledge_test.cpp
+++ b/Tests/Relay/relay_knowledge_test.cpp
@@ -70,11 +70,27 @@
     ASSERT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("seen"); }));
 }
 
+// node_cut, then a server that leaves: an entry that does not read itself hears from peers
+// that the source is back.  Kept servers made DRAIN red (pcf-cutline scale-2, seed
+// 18723040966).
+TEST(relay_knowledge, a_source_that_a_peer_confirms_is_not_lost_any_more)
+{
+    relay_harness fleet({}, {.backends = {.return_grace = 50ms}});
+    fleet.add_backend("s1");
+    fleet.configure(relay_harness::configuration());
+    fleet.knowledge().source_failed("cut");
+    fleet.knowledge().drop_backend("s1");
+    EXPECT_NE(fleet.knowledge().backends().find("s1"), nullptr);
+    fleet.knowledge().confirmed_by_peer(100ms);
+    EXPECT_TRUE(
+        fleet.wait_for([&] { return fleet.knowledge().backends().find("s1") == nullptr; }));
+}
+
 TEST(relay_stop, finishes_open_requests_and_closes_idle_connections)
 {
     relay_port_options options;
     options.stop_notice = 100ms;
-    options.stop_grace = 3000ms;
+    options.limits.stop_grace = 3000ms;
     relay_harness fleet(options);
     scripted_backend& shop = fleet.add_backend("s1");
     fleet.configure(relay_harness::configuration());
@@ -102,7 +118,7 @@
 {
     relay_port_options options;
     options.stop_notice = 50ms;
-    options.stop_grace = 200ms;
+    options.limits.stop_grace = 200ms;
     relay_harness fleet(options);
     scripted_backend& shop = fleet.add_backend("s1");
     fleet.configure(relay_harness::configuration());
