--- a/Source/backend_chooser.cpp
+++ b/Source/backend_chooser.cpp
@@ -127,6 +127,9 @@
         choice.load = spare->load(now);
         choice.reason = "spare";
     }
+    if (choice.server != nullptr) {
+        choice.server->health.tried(now);
+    }
     choice.kept = choice.server != nullptr && keeps(*choice.server, wish, now);
     if (choice.server != nullptr && service.cold_starts_per_second > 0 && choice.server->cold(now)) {
         choice.server->cold_starts.take(now);
--- a/Source/backend_health.cpp
+++ b/Source/backend_health.cpp
@@ -27,6 +27,13 @@
     paused_until_ = now + std::min(pause, options_.most_pause);
 }
 
+void backend_health::tried(millis now)
+{
+    if (failures_ > 0) {
+        paused_until_ = std::max(paused_until_, now + options_.trial);
+    }
+}
+
 void backend_health::ended(backend_outcome outcome, millis now)
 {
     settle(now);
--- a/Source/backend_health.h
+++ b/Source/backend_health.h
@@ -7,6 +7,7 @@
 struct backend_health_options {
     millis first_pause = 200ms; // after a connection that did not come up
     millis most_pause = 2000ms; // the pause doubles with each further one
+    millis trial = 500ms;       // time for one request to try a server that was unreachable
     millis half_life = 3000ms;  // of the memory of good and bad ends
     double least_bad = 2.5;     // bad ends, decayed, before a server can be suspected
     double margin = 0.15;       // by which its share of bad ends exceeds twice the others'
@@ -25,8 +26,11 @@
     void unreachable(millis now);
     void ended(backend_outcome outcome, millis now);
 
-    /// No connection is tried before this.
+    /// No connection is tried now.
     bool paused(millis now) const { return now < paused_until_; }
+    /// A request goes there.  If the last connection did not come up, it tries alone: no
+    /// other follows until it has ended well, or for as long as it may take to fail.
+    void tried(millis now);
     /// Its requests fail far more often than those of the other servers of its pool, whose
     /// share of bad ends is `others_share`.
     bool suspected(double others_share, millis now) const;
--- a/Source/client_connection.h
+++ b/Source/client_connection.h
@@ -21,7 +21,9 @@
 };
 
 struct client_connection_options {
-    millis connect_timeout = 500ms; // for the connection to come up
+    // For the connection to come up: many round trips within a region, and still time to
+    // try another server.
+    millis connect_timeout = 250ms;
     // Unacknowledged data or probes for so long end the connection (TCP_USER_TIMEOUT).
     millis dead_after = 2000ms;
 };
--- a/Source/relay_knowledge.h
+++ b/Source/relay_knowledge.h
@@ -28,7 +28,7 @@
 class relay_knowledge : public service {
 public:
     relay_knowledge(kernel& core, relay_knowledge_options options)
-        : core_(core), options_(options), backends_(options.backends)
+        : core_(core), options_(options), backends_(options.backends), confirmed_at_(core.now())
     {
     }
 
@@ -61,7 +61,7 @@
     backend_table& backends() { return backends_; }
     bool is_complete() const { return complete_; }
     bool fresh() const { return complete_ && age() < options_.fresh_for; }
-    /// Time since a source last confirmed what is known.
+    /// Time since a source last confirmed what is known, or since the start.
     millis age() const { return core_.now() - confirmed_at_; }
 
     /// Raised when a new configuration came into force.
--- a/Tests/Decisions/backend_choice_test.cpp
+++ b/Tests/Decisions/backend_choice_test.cpp
@@ -223,6 +223,22 @@
     EXPECT_NE(shops.choose(std::nullopt).server, nullptr);
 }
 
+// srv_crash, dark: connections to a silent server take long to fail, and requests that come
+// meanwhile must not wait for the same.
+TEST(backend_choice, one_request_alone_tries_a_server_that_was_unreachable)
+{
+    pool engines(2);
+    const std::uint64_t prompt = hash_of("guide");
+    backend& home = *engines.choose(prompt).server;
+    engines.table.unreachable(home, now);
+    const millis rested = now + 300ms;
+    EXPECT_EQ(engines.choose(prompt, 0, rested).server, &home);
+    EXPECT_NE(engines.choose(prompt, 0, rested).server, &home);
+    EXPECT_NE(engines.choose(prompt, 0, rested + 400ms).server, &home);
+    home.health.ended(backend_outcome::good, rested + 400ms);
+    EXPECT_EQ(engines.choose(prompt, 0, rested + 400ms).server, &home);
+}
+
 // srv_flap: each refused connection doubles the pause, a good end clears it.
 TEST(backend_choice, an_unreachable_server_rests_longer_each_time)
 {
