--- a/Source/backend_chooser.cpp
+++ b/Source/backend_chooser.cpp
@@ -9,14 +9,14 @@
 {
     if (!wish.prompt) {
         std::vector<backend*> ordered = pool.servers;
-        std::stable_sort(ordered.begin(), ordered.end(), [&](const backend* left,
-                                                             const backend* right) {
-            const auto cost = [&](const backend* server) {
-                return server->load(now) +
-                       (server->entry.zone == options_.zone ? 0 : options_.local_lead);
-            };
-            return cost(left) < cost(right);
-        });
+        std::stable_sort(
+            ordered.begin(), ordered.end(), [&](const backend* left, const backend* right) {
+                const auto cost = [&](const backend* server) {
+                    return server->load(now) +
+                           (server->entry.zone == options_.zone ? 0 : options_.local_lead);
+                };
+                return cost(left) < cost(right);
+            });
         return ordered;
     }
     std::vector<placement_candidate> candidates;
@@ -54,8 +54,8 @@
         return true;
     }
     constexpr double one_at_a_time = 1;
-    server.cold_starts.set_rate(
-        options_.cold_share * service.cold_starts_per_second / entries_, one_at_a_time);
+    server.cold_starts.set_rate(options_.cold_share * service.cold_starts_per_second / entries_,
+                                one_at_a_time);
     return server.cold_starts.allows(now);
 }
 
@@ -131,7 +131,8 @@
         choice.server->health.tried(now);
     }
     choice.kept = choice.server != nullptr && keeps(*choice.server, wish, now);
-    if (choice.server != nullptr && service.cold_starts_per_second > 0 && choice.server->cold(now)) {
+    if (choice.server != nullptr && service.cold_starts_per_second > 0 &&
+        choice.server->cold(now)) {
         choice.server->cold_starts.take(now);
     }
     return choice;
--- a/Source/backend_chooser.h
+++ b/Source/backend_chooser.h
@@ -19,16 +19,16 @@
     // more than the wait behind one request more.
     double long_prompt_margin = 2.5;
     unsigned long_prompt_tokens = 4096; // an engine reads about as many in one step
-    unsigned local_lead = 2;    // requests by which a server in another zone has to be freer
-    double cold_share = 0.8;    // of what a cold server bears, given out by all entries
+    unsigned local_lead = 2; // requests by which a server in another zone has to be freer
+    double cold_share = 0.8; // of what a cold server bears, given out by all entries
 };
 
 /// What the choice of a backend server depends on.
 struct backend_wish {
     std::string service;
-    std::optional<std::uint64_t> prompt; // hash of the part of the prompt to look for
-    unsigned prompt_tokens = 0;            // of the parts that are shared
-    const prompt_places* places = nullptr; // servers that keep it
+    std::optional<std::uint64_t> prompt;          // hash of the part of the prompt to look for
+    unsigned prompt_tokens = 0;                   // of the parts that are shared
+    const prompt_places* places = nullptr;        // servers that keep it
     const std::set<std::string>* tried = nullptr; // ids that are not to be chosen again
 };
 
--- a/Source/backend_connections.h
+++ b/Source/backend_connections.h
@@ -13,10 +13,10 @@
 
 struct backend_connections_options {
     client_connection_options connection;
-    millis most_idle = 4000ms;       // where the server does not say how long it keeps one
-    millis keep_margin = 1000ms;     // before the end of the time that the server says
-    millis most_idle_once = 1000ms;  // for a request that may run only once: a connection
-                                     // that just ended would leave its fate unknown
+    millis most_idle = 4000ms;      // where the server does not say how long it keeps one
+    millis keep_margin = 1000ms;    // before the end of the time that the server says
+    millis most_idle_once = 1000ms; // for a request that may run only once: a connection
+                                    // that just ended would leave its fate unknown
 };
 
 /// Idle connections to backend servers, kept for the next request.  A connection belongs
--- a/Source/backend_table.cpp
+++ b/Source/backend_table.cpp
@@ -22,8 +22,9 @@
     std::unique_ptr<backend>& place = servers_[entry.id];
     if (place != nullptr) {
         const backend_entry& known = place->entry;
-        const bool older = entry.started_at < known.started_at ||
-                           (entry.started_at == known.started_at && entry.sequence < known.sequence);
+        const bool older =
+            entry.started_at < known.started_at ||
+            (entry.started_at == known.started_at && entry.sequence < known.sequence);
         if (older) {
             return news::older;
         }
--- a/Source/backend_table.h
+++ b/Source/backend_table.h
@@ -41,9 +41,9 @@
 };
 
 struct backend_table_options {
-    millis return_grace = 2300ms;  // for entries that lapsed while the source was away
-    millis cold_slack = 300ms;     // added to what a server says of its cold start
-    millis suspicion = 2500ms;     // a server that was unreachable counts as cold so long
+    millis return_grace = 2300ms;    // for entries that lapsed while the source was away
+    millis cold_slack = 300ms;       // added to what a server says of its cold start
+    millis suspicion = 2500ms;       // a server that was unreachable counts as cold so long
     millis report_lifetime = 1000ms; // older reports of load are not used
 };
 
@@ -86,7 +86,7 @@
     void recount(backend& server) const;
 
     backend_table_options options_;
-    std::map<std::string, std::unique_ptr<backend>> servers_; // by id
+    std::map<std::string, std::unique_ptr<backend>> servers_;            // by id
     std::map<std::string, std::map<std::uint32_t, unsigned>> elsewhere_; // by entry
     std::set<std::string> zones_out_;
     bool source_away_ = false;
--- a/Source/caller_connection.cpp
+++ b/Source/caller_connection.cpp
@@ -31,11 +31,10 @@
 const std::map<int, std::string_view>& reasons()
 {
     static const std::map<int, std::string_view> table{
-        {400, "Bad Request"},         {401, "Unauthorized"},
-        {404, "Not Found"},           {408, "Request Timeout"},
-        {413, "Content Too Large"},   {429, "Too Many Requests"},
-        {431, "Head Fields Too Large"}, {502, "Bad Gateway"},
-        {503, "Service Unavailable"}, {504, "Gateway Timeout"},
+        {400, "Bad Request"},           {401, "Unauthorized"},      {404, "Not Found"},
+        {408, "Request Timeout"},       {413, "Content Too Large"}, {429, "Too Many Requests"},
+        {431, "Head Fields Too Large"}, {502, "Bad Gateway"},       {503, "Service Unavailable"},
+        {504, "Gateway Timeout"},
     };
     return table;
 }
@@ -111,8 +110,7 @@
             reader_.set_limits({.head_bytes = limits.head_bytes, .body_bytes = limits.body_bytes});
         }
         const std::size_t used = reader_.feed(
-            {reinterpret_cast<const char*>(
-                 evbuffer_pullup(input, static_cast<ev_ssize_t>(length))),
+            {reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(length))),
              length});
         evbuffer_drain(input, used);
         if (reader_.fault() != http_fault::none) {
@@ -247,7 +245,8 @@
     if (why.retry_after) {
         head.add("Retry-After", fmt::format("{:.3f}", double(why.retry_after->count()) / 1000));
     }
-    const std::string body = fmt::format(R"({{"status":{},"reason":"{}"}})", why.status, why.reason);
+    const std::string body =
+        fmt::format(R"({{"status":{},"reason":"{}"}})", why.status, why.reason);
     head.length = body.size();
     begin_answer(head);
     write(body);
@@ -262,7 +261,9 @@
         return;
     }
     if (to_end_) { // an ordinary end would make the answer look complete
-        const struct linger reset {.l_onoff = 1, .l_linger = 0};
+        const struct linger reset {
+            .l_onoff = 1, .l_linger = 0
+        };
         static_cast<void>(
             setsockopt(bufferevent_getfd(channel_), SOL_SOCKET, SO_LINGER, &reset, sizeof reset));
         close();
--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -55,8 +55,8 @@
     std::string waiting; // the call's bytes, until the connection is up
     bool up = false;
     bool ended = false;
-    bool open = false;    // a call is open
-    bool begun = false;   // bytes of its answer arrived
+    bool open = false;  // a call is open
+    bool begun = false; // bytes of its answer arrived
     bool skipping = false;
     bool keep = true;
     bool no_body = false;
@@ -82,8 +82,8 @@
         bufferevent_set_timeouts(channel, nullptr, &limit);
         sockaddr_storage address{};
         int length = sizeof address;
-        if (evutil_parse_sockaddr_port(server.text().c_str(),
-                                       reinterpret_cast<sockaddr*>(&address), &length) != 0 ||
+        if (evutil_parse_sockaddr_port(server.text().c_str(), reinterpret_cast<sockaddr*>(&address),
+                                       &length) != 0 ||
             bufferevent_socket_connect(channel, reinterpret_cast<sockaddr*>(&address), length) !=
                 0) {
             ended = true;
@@ -183,8 +183,9 @@
 
     void completed()
     {
-        const bool extra = channel != nullptr && (evbuffer_get_length(bufferevent_get_input(channel)) > 0 ||
-                                                  evbuffer_get_length(bufferevent_get_output(channel)) > 0);
+        const bool extra =
+            channel != nullptr && (evbuffer_get_length(bufferevent_get_input(channel)) > 0 ||
+                                   evbuffer_get_length(bufferevent_get_output(channel)) > 0);
         if (!keep || extra) { // an answer before the whole request was sent ends it, too
             close();
         }
@@ -276,7 +277,7 @@
     state_->close();
 }
 
-void client_connection::call(const http_head& head, std::string body, handlers receivers)
+void client_connection::call(const http_head& head, const std::string& body, handlers receivers)
 {
     state& self = *state_;
     self.on_idle_end = on_idle_end;
--- a/Source/client_connection.h
+++ b/Source/client_connection.h
@@ -49,7 +49,7 @@
 
     /// Sends a request; the connection has to be idle.  `body` is sent after `head`, which
     /// has to declare its length.
-    void call(const http_head& head, std::string body, handlers receivers);
+    void call(const http_head& head, const std::string& body, handlers receivers);
     /// Ends the call without a word to its receivers, and the connection with it.
     void abandon();
     /// Stops and resumes reading the answer, so that a slow reader bounds the memory used.
--- a/Source/event_log.cpp
+++ b/Source/event_log.cpp
@@ -1,13 +1,13 @@
 #include "event_log.h"
 
 #include <fmt/chrono.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <iterator>
-#include <poll.h>
-#include <unistd.h>
 #include <utility>
 
 namespace cyclamen {
@@ -38,8 +38,8 @@
         const double passed = std::chrono::duration<double>(now - refilled_at_).count();
         allowance_ = std::min(limits_.burst, allowance_ + passed * limits_.lines_per_second);
         refilled_at_ = now;
-        const bool over = (row.level == severity::info && allowance_ < 1) ||
-                          text_.size() > limits_.most_buffered;
+        const bool over =
+            (row.level == severity::info && allowance_ < 1) || text_.size() > limits_.most_buffered;
         if (over) {
             ++dropped_;
             return;
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -83,8 +83,8 @@
 
 /// Bounds what the log may cost, so that a process under load never waits for it.
 struct event_log_limits {
-    double lines_per_second = 400; // of severity info; the rest is always written
-    double burst = 1200;           // of such lines
+    double lines_per_second = 400;      // of severity info; the rest is always written
+    double burst = 1200;                // of such lines
     std::size_t most_buffered = 262144; // bytes that wait for a slow reader
 };
 
--- a/Source/http_client.cpp
+++ b/Source/http_client.cpp
@@ -76,30 +76,30 @@
 {
     state_->rearm();
     state* self = state_.get();
-    self->connection.call(
-        head_of(request), request.body,
-        {.on_head =
-             [self](const http_head& head) {
-                 self->rearm();
-                 if (self->receivers.on_head) {
-                     self->receivers.on_head(head.status,
-                                             std::string(head.header_or("Content-Type", "")));
-                 }
-                 return true;
-             },
-         .on_body =
-             [self](std::string_view data) {
-                 self->rearm();
-                 if (self->receivers.on_data) {
-                     self->receivers.on_data(data);
-                 }
-             },
-         .on_end =
-             [hold = std::weak_ptr<state>(state_)](http_end end) {
-                 if (const std::shared_ptr<state> kept = hold.lock()) {
-                     kept->finish(end);
-                 }
-             }});
+    self->connection.call(head_of(request), request.body,
+                          {.on_head =
+                               [self](const http_head& head) {
+                                   self->rearm();
+                                   if (self->receivers.on_head) {
+                                       self->receivers.on_head(
+                                           head.status,
+                                           std::string(head.header_or("Content-Type", "")));
+                                   }
+                                   return true;
+                               },
+                           .on_body =
+                               [self](std::string_view data) {
+                                   self->rearm();
+                                   if (self->receivers.on_data) {
+                                       self->receivers.on_data(data);
+                                   }
+                               },
+                           .on_end =
+                               [hold = std::weak_ptr<state>(state_)](http_end end) {
+                                   if (const std::shared_ptr<state> kept = hold.lock()) {
+                                       kept->finish(end);
+                                   }
+                               }});
 }
 
 http_call::~http_call()
--- a/Source/http_message.cpp
+++ b/Source/http_message.cpp
@@ -1,18 +1,18 @@
 #include "http_message.h"
 
 #include <fmt/format.h>
+#include <strings.h>
 
 #include <algorithm>
 #include <array>
 #include <iterator>
-#include <strings.h>
 
 namespace cyclamen {
 
 namespace {
 
 constexpr std::array<std::string_view, 9> connection_headers{
-    "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "TE",
+    "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate", "TE",
     "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length"};
 
 std::string_view trimmed(std::string_view text)
@@ -68,8 +68,7 @@
 
 bool same_name(std::string_view left, std::string_view right)
 {
-    return left.size() == right.size() &&
-           strncasecmp(left.data(), right.data(), left.size()) == 0;
+    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
 }
 
 std::optional<std::string_view> http_head::header(std::string_view name) const
--- a/Source/log_follower.h
+++ b/Source/log_follower.h
@@ -21,16 +21,16 @@
 /// What one call returned.
 struct log_page {
     log_call_end end = log_call_end::failed;
-    std::string why;                     // it failed
+    std::string why; // it failed
     std::vector<mirrored_record> records;
-    std::uint64_t log_end = 0;           // offset after the last record of the log
+    std::uint64_t log_end = 0;             // offset after the last record of the log
     std::optional<std::string> more_after; // of a listing: continue after this key
 };
 
 struct log_follower_options {
-    std::string name;          // of the log, for logs
-    millis wait{0};            // that a read may be kept waiting for news; 0 asks at once
-    millis pause = 250ms;      // after an answer, so that news that come together cost one
+    std::string name;           // of the log, for logs
+    millis wait{0};             // that a read may be kept waiting for news; 0 asks at once
+    millis pause = 250ms;       // after an answer, so that news that come together cost one
     millis retry_pause = 250ms; // after a call that failed
 };
 
@@ -45,8 +45,8 @@
         std::function<void(std::uint64_t from, millis wait, std::function<void(log_page)> on_page)>
             read;
         /// False while peers read for this process; nothing asks always.
-    std::function<bool()> should_read;
-    /// Before the records of an answer are taken.
+        std::function<bool()> should_read;
+        /// Before the records of an answer are taken.
         std::function<void()> on_answered;
         std::function<void(const std::string& why)> on_failed;
         /// After the records of an answer were taken.
--- a/Source/peer_news.cpp
+++ b/Source/peer_news.cpp
@@ -254,7 +254,10 @@
     wire::record_batch& batch = *message.mutable_record_batch();
     batch.set_log(request.log());
     batch.set_end(*mirror.position());
-    for (const mirrored_record& record : mirror.since(request.from())) {
+    const bool listing = request.from() < mirror.drops_known_from();
+    batch.set_listing(listing);
+    for (const mirrored_record& record :
+         listing ? mirror.listing() : mirror.since(request.from())) {
         wire::keyed_record& row = *batch.add_records();
         row.set_key(record.key);
         row.set_offset(record.offset);
@@ -273,13 +276,22 @@
     record_mirror& mirror = *mirrors_[batch.log()];
     log_event(event_id::records_from_peer, "log={} records={} end={} before={}", batch.log(),
               batch.records_size(), batch.end(), mirror.position().value_or(0));
+    std::vector<mirrored_record> records;
     for (const wire::keyed_record& row : batch.records()) {
-        mirror.take({.key = row.key(),
-                     .value = row.has_value() ? std::optional<std::string>(row.value())
-                                              : std::nullopt,
-                     .offset = row.offset()});
+        records.push_back(
+            {.key = row.key(),
+             .value = row.has_value() ? std::optional<std::string>(row.value()) : std::nullopt,
+             .offset = row.offset()});
+    }
+    if (batch.listing()) {
+        mirror.take_listing(std::move(records), batch.end());
+    }
+    else {
+        for (mirrored_record& record : records) {
+            mirror.take(std::move(record));
+        }
+        mirror.advance(batch.end());
     }
-    mirror.advance(batch.end());
     behind_since_[batch.log()].reset();
     const bool all = std::all_of(mirrors_.begin(), mirrors_.end(), [](const record_mirror* known) {
         return known->position().has_value();
@@ -301,8 +313,7 @@
     std::vector<std::string> gone;
     for (const auto& [address, row] : peers_) {
         const millis silence = now - row.heard;
-        if (silence >= options_.silent_after &&
-            knowledge_->backends().set_elsewhere(address, {})) {
+        if (silence >= options_.silent_after && knowledge_->backends().set_elsewhere(address, {})) {
             log_event(event_id::peer_silent, "peer={} silent_ms={} entries={}", address,
                       silence.count(), entries());
         }
--- a/Source/peer_news.h
+++ b/Source/peer_news.h
@@ -22,11 +22,11 @@
 
 struct peer_news_options {
     net_address listen;
-    std::vector<net_address> seeds;  // peers to begin with; any of them may be gone
-    millis interval = 250ms;         // between two digests to one peer, in a fleet of up to ...
-    unsigned interval_peers = 5;     // ... so many peers; it grows with their number beyond
-    unsigned peers_every = 8;        // digests from one that lists peers to the next
-    millis silent_after = 1500ms;    // a peer's counts are not used any more
+    std::vector<net_address> seeds;   // peers to begin with; any of them may be gone
+    millis interval = 250ms;          // between two digests to one peer, in a fleet of up to ...
+    unsigned interval_peers = 5;      // ... so many peers; it grows with their number beyond
+    unsigned peers_every = 8;         // digests from one that lists peers to the next
+    millis silent_after = 1500ms;     // a peer's counts are not used any more
     millis forgotten_after = 60000ms; // a peer is not counted among the entries any more
     // Entries that read the logs, the others take what they need from these: a call to the
     // logs' service costs more than a message between entries.
@@ -67,8 +67,8 @@
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
         millis heard{0};
-        bool answering = false; // its source answers
-        millis told{0};         // when it was sent a digest last
+        bool answering = false;                   // its source answers
+        millis told{0};                           // when it was sent a digest last
         std::vector<prompt_places::place> places; // to be told with the next
     };
 
--- a/Source/record_mirror.cpp
+++ b/Source/record_mirror.cpp
@@ -34,6 +34,7 @@
         // The offset of the drop is not known; it lies before the listing's end.
         take({.key = key, .value = std::nullopt, .offset = end - 1});
     }
+    drops_known_from_ = std::max(drops_known_from_, end);
     advance(end);
 }
 
@@ -42,6 +43,13 @@
     position_ = std::max(position_.value_or(0), position);
 }
 
+std::vector<mirrored_record> record_mirror::listing() const
+{
+    std::vector<mirrored_record> result = since(0);
+    std::erase_if(result, [](const mirrored_record& record) { return !record.value; });
+    return result;
+}
+
 std::vector<mirrored_record> record_mirror::since(std::uint64_t from) const
 {
     std::vector<mirrored_record> result;
--- a/Source/record_mirror.h
+++ b/Source/record_mirror.h
@@ -38,12 +38,18 @@
     std::optional<std::uint64_t> position() const { return position_; }
     /// The newest records at `from` or later, in order of offset; dropped keys as well.
     std::vector<mirrored_record> since(std::uint64_t from) const;
+    /// Drops before this offset may be missing here: the first listing named only the keys
+    /// that were left.  Who lacks more needs a listing.
+    std::uint64_t drops_known_from() const { return drops_known_from_; }
+    /// The newest records of all keys that have a value.
+    std::vector<mirrored_record> listing() const;
     std::size_t size() const { return records_.size(); }
 
 private:
     std::function<void(const mirrored_record&)> on_change_;
     std::map<std::string, mirrored_record> records_; // by key
     std::optional<std::uint64_t> position_;
+    std::uint64_t drops_known_from_ = 0;
 };
 
 } // namespace cyclamen
--- a/Source/relay_configuration.h
+++ b/Source/relay_configuration.h
@@ -38,12 +38,12 @@
     std::string host;
     std::string prefix; // of the path, with a slash at both ends
     route_kind kind = route_kind::unsafe;
-    millis timeout{0}; // longest time that a caller is kept waiting; 0 is none
-    millis target{0};  // to the answer, or to the first event of a stream
+    millis timeout{0};     // longest time that a caller is kept waiting; 0 is none
+    millis target{0};      // to the answer, or to the first event of a stream
     unsigned priority = 0; // 0 first
     std::vector<weighted_service> services;
-    unsigned most_backends = 1; // that one request may be sent to
-    bool open = false;          // needs no key
+    unsigned most_backends = 1;   // that one request may be sent to
+    bool open = false;            // needs no key
     bool prompt_affinity = false; // requests share parts of their prompts
     bool resumable = false;       // a stream may go on at another backend server
     millis longest_pause{0};      // between events; 0 is any
@@ -51,9 +51,9 @@
 
 struct relay_service {
     std::string name;
-    unsigned most_connections = 0;       // of a backend server, from all entries; 0 is any
-    double cold_starts_per_second = 0;   // that a cold backend server bears; 0 is any
-    bool engine = false;                 // serves a model, and caches prompts
+    unsigned most_connections = 0;     // of a backend server, from all entries; 0 is any
+    double cold_starts_per_second = 0; // that a cold backend server bears; 0 is any
+    bool engine = false;               // serves a model, and caches prompts
 };
 
 struct client_account {
@@ -78,9 +78,9 @@
     std::string service;
     net_address address;
     std::string zone;
-    unsigned slots = 0;      // requests that it runs at once
-    bool draining = false;   // it is about to leave
-    millis cold_for{0};      // how much longer it is in cold start
+    unsigned slots = 0;           // requests that it runs at once
+    bool draining = false;        // it is about to leave
+    millis cold_for{0};           // how much longer it is in cold start
     std::uint64_t started_at = 0; // names its incarnation
     std::uint64_t sequence = 0;   // of this entry within the incarnation
 };
--- a/Source/relay_dialect.h
+++ b/Source/relay_dialect.h
@@ -20,11 +20,11 @@
 
 /// What a caller says of its request in headers.
 struct request_facts {
-    std::string id;                 // of this try of the caller; may be empty
-    std::optional<millis> deadline; // that the caller still waits
-    std::string key;                // of its account; may be empty
+    std::string id;                  // of this try of the caller; may be empty
+    std::optional<millis> deadline;  // that the caller still waits
+    std::string key;                 // of its account; may be empty
     std::vector<prompt_part> prompt; // in order; the last belongs to this request alone
-    std::string last_event_id;      // where a stream goes on
+    std::string last_event_id;       // where a stream goes on
 };
 
 /// What the relay tells a backend server beside the request.
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -57,17 +57,15 @@
         deadline_ = std::min(deadline_, began_ + route_->timeout);
     }
     const millis until = deadline_ + context_.options.answer_slack - context_.core.now();
-    deadline_timer_ =
-        context_.core.after(std::max(1ms, until), [this] { deadline_passed(); });
+    deadline_timer_ = context_.core.after(std::max(1ms, until), [this] { deadline_passed(); });
     attempt();
 }
 
 bool relay_exchange::admit_request()
 {
     const http_head& request = caller_->request();
-    const admission verdict =
-        admit(table_.get(), context_.knowledge.fresh(), request.header_or("Host", ""),
-              request.path(), facts_.key);
+    const admission verdict = admit(table_.get(), context_.knowledge.fresh(),
+                                    request.header_or("Host", ""), request.path(), facts_.key);
     route_ = verdict.route;
     account_ = verdict.account;
     if (verdict.refused_with == 0) {
@@ -138,14 +136,13 @@
         give_up("unknown_service");
         return;
     }
-    const backend_choice choice = context_.chooser.choose(
-        context_.knowledge.backends(), *service,
-        {.service = service_,
-         .prompt = placement_part(),
-         .prompt_tokens = shared_tokens(),
-         .places = &context_.knowledge.places(),
-         .tried = &tried_},
-        context_.core.now());
+    const backend_choice choice = context_.chooser.choose(context_.knowledge.backends(), *service,
+                                                          {.service = service_,
+                                                           .prompt = placement_part(),
+                                                           .prompt_tokens = shared_tokens(),
+                                                           .places = &context_.knowledge.places(),
+                                                           .tried = &tried_},
+                                                          context_.core.now());
     if (choice.server == nullptr) {
         wait_for_backend(choice);
         return;
@@ -160,8 +157,8 @@
     if (!waiting_since_) {
         waiting_since_ = now;
     }
-    const millis most = std::max(context_.options.wait_step,
-                                 route_->target * context_.options.wait_eighths / 8);
+    const millis most =
+        std::max(context_.options.wait_step, route_->target * context_.options.wait_eighths / 8);
     if (now - *waiting_since_ >= most) {
         give_up(std::string(choice.reason));
         return;
@@ -201,14 +198,15 @@
     }
     const bool once = !attempts_->repeatable();
     connection_ = context_.connections.take(backend_id_, server.entry.address, once);
-    log_event(event_id::backend_chosen,
-              "request={} route={} prompt={:x} backend={} zone={} reason={} rank={} kept={} load={} "
-              "mean={:.1f} pool={} "
-              "cold={} try={} left_ms={} version={} source_age_ms={} listed_age_ms={}",
-              facts_.id, route_->name, placement_part().value_or(0), backend_id_,
-              server.entry.zone, choice.reason, choice.rank, choice.kept, choice.load, choice.mean, choice.pool, server.cold(sent_at_), tried_.size(),
-              facts.time_left.count(), table_->version(), context_.knowledge.age().count(),
-              (sent_at_ - server.listed_at).count());
+    log_event(
+        event_id::backend_chosen,
+        "request={} route={} prompt={:x} backend={} zone={} reason={} rank={} kept={} load={} "
+        "mean={:.1f} pool={} "
+        "cold={} try={} left_ms={} version={} source_age_ms={} listed_age_ms={}",
+        facts_.id, route_->name, placement_part().value_or(0), backend_id_, server.entry.zone,
+        choice.reason, choice.rank, choice.kept, choice.load, choice.mean, choice.pool,
+        server.cold(sent_at_), tried_.size(), facts.time_left.count(), table_->version(),
+        context_.knowledge.age().count(), (sent_at_ - server.listed_at).count());
     connection_->call(request, body_,
                       {.on_head = [this](const http_head& head) { return answer_head(head); },
                        .on_body = [this](std::string_view data) { answer_body(data); },
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -27,7 +27,7 @@
     millis default_deadline = 60000ms; // where neither caller nor route sets one
     // A request that no server may take now waits so long, in eighths of its route's target.
     unsigned wait_eighths = 1;
-    millis wait_step = 20ms;       // between two choices of a waiting request
+    millis wait_step = 20ms; // between two choices of a waiting request
     // For refused callers; spread from half of it to one and a half times.
     millis retry_after = 300ms;
     // Of the time left, at most: callers honour a third of it.
--- a/Source/relay_port.cpp
+++ b/Source/relay_port.cpp
@@ -208,7 +208,8 @@
         return true;
     }
     const millis since = core_.now() - *stopping_since_;
-    return since >= options_.limits.stop_grace || (since >= options_.stop_notice && callers_.empty());
+    return since >= options_.limits.stop_grace ||
+           (since >= options_.stop_notice && callers_.empty());
 }
 
 nlohmann::json relay_port::describe() const
@@ -217,8 +218,10 @@
     for (const auto& [key, row] : callers_) {
         exchanges += row.exchange != nullptr ? 1 : 0;
     }
-    return {{"listen", options_.listen.text()}, {"ready", ready()},
-            {"callers", callers_.size()},       {"requests_open", exchanges},
+    return {{"listen", options_.listen.text()},
+            {"ready", ready()},
+            {"callers", callers_.size()},
+            {"requests_open", exchanges},
             {"idle_backend_connections", connections_.idle()},
             {"entries", entries_}};
 }
--- a/Source/relay_port.h
+++ b/Source/relay_port.h
@@ -47,6 +47,8 @@
 class relay_port : public service {
 public:
     relay_port(kernel& core, relay_port_options options, relay_dialect dialect);
+    relay_port(const relay_port&) = delete;
+    relay_port& operator=(const relay_port&) = delete;
     ~relay_port() override;
 
     std::string_view name() const override { return "relay"; }
--- a/Source/retry_budgets.h
+++ b/Source/retry_budgets.h
@@ -9,7 +9,7 @@
 namespace cyclamen {
 
 struct retry_budgets_options {
-    double share = 0.18;     // repeats earned by each request
+    double share = 0.18;       // repeats earned by each request
     double fleet_reserve = 40; // repeats saved up, by all entries together
 };
 
--- a/Source/route_table.cpp
+++ b/Source/route_table.cpp
@@ -14,9 +14,8 @@
 std::string lower(std::string_view text)
 {
     std::string result(text);
-    std::transform(result.begin(), result.end(), result.begin(), [](unsigned char letter) {
-        return static_cast<char>(std::tolower(letter));
-    });
+    std::transform(result.begin(), result.end(), result.begin(),
+                   [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
     return result;
 }
 
@@ -67,8 +66,8 @@
     return found == configuration_.services.end() ? nullptr : &found->second;
 }
 
-admission admit(const route_table* table, bool fresh, std::string_view host,
-                std::string_view path, std::string_view key)
+admission admit(const route_table* table, bool fresh, std::string_view host, std::string_view path,
+                std::string_view key)
 {
     if (table == nullptr) {
         return {.refused_with = unavailable, .reason = "no_configuration"};
--- a/Source/route_table.h
+++ b/Source/route_table.h
@@ -47,7 +47,7 @@
 
 /// Decides by `table`, which may be absent.  A route or key that is not there is refused
 /// for good only where the table is `fresh`: a newer one may hold it.
-admission admit(const route_table* table, bool fresh, std::string_view host,
-                std::string_view path, std::string_view key);
+admission admit(const route_table* table, bool fresh, std::string_view host, std::string_view path,
+                std::string_view key);
 
 } // namespace cyclamen
--- a/Source/status_port.cpp
+++ b/Source/status_port.cpp
@@ -35,7 +35,8 @@
         last_ready_ = ready;
         log_event(event_id::readiness_changed, "ready={} stopping={}", ready, core_.stopping());
     }
-    from->reply(ready ? http_ok : http_unavailable, "text/plain", ready ? "ready\n" : "not ready\n");
+    from->reply(ready ? http_ok : http_unavailable, "text/plain",
+                ready ? "ready\n" : "not ready\n");
 }
 
 void status_port::on_metrics(const std::shared_ptr<http_exchange>& from)
@@ -44,9 +45,9 @@
         from->reply(http_ok, "text/plain; version=0.0.4", core_.metrics_text());
     }
     else if (from->path() == options_.state_path) {
-        from->reply(
-            http_ok, "application/json",
-            core_.describe().dump(2, ' ', false, nlohmann::json::error_handler_t::replace) + "\n");
+        from->reply(http_ok, "application/json",
+                    core_.describe().dump(2, ' ', false, nlohmann::json::error_handler_t::replace) +
+                        "\n");
     }
     else {
         from->reply(http_not_found, "text/plain",
--- a/Source/status_port.h
+++ b/Source/status_port.h
@@ -11,9 +11,9 @@
 namespace cyclamen {
 
 struct status_port_options {
-    net_address readiness;      // for the balancer's checks
+    net_address readiness; // for the balancer's checks
     std::string readiness_path;
-    net_address metrics;        // for counters, histograms and the state dump
+    net_address metrics; // for counters, histograms and the state dump
     std::string metrics_path = "/metrics";
     std::string state_path = "/state";
     std::function<bool()> ready;
--- a/Tests/Decisions/backend_choice_test.cpp
+++ b/Tests/Decisions/backend_choice_test.cpp
@@ -27,22 +27,24 @@
 
     void add(unsigned index, millis cold_for = 0ms)
     {
-        table.put({.id = name(index),
-                   .service = "engine",
-                   .address = {.host = "127.0.0.1", .port = static_cast<std::uint16_t>(1000 + index)},
-                   .zone = std::string(1, static_cast<char>('a' + index % 3)),
-                   .slots = 64,
-                   .cold_for = cold_for,
-                   .started_at = 1,
-                   .sequence = 1},
-                  now);
+        table.put(
+            {.id = name(index),
+             .service = "engine",
+             .address = {.host = "127.0.0.1", .port = static_cast<std::uint16_t>(1000 + index)},
+             .zone = std::string(1, static_cast<char>('a' + index % 3)),
+             .slots = 64,
+             .cold_for = cold_for,
+             .started_at = 1,
+             .sequence = 1},
+            now);
     }
 
     backend_choice choose(std::optional<std::uint64_t> prompt, unsigned tokens = 0, millis at = now)
     {
         return chooser.choose(
             table, service,
-            {.service = "engine", .prompt = prompt, .prompt_tokens = tokens, .places = &places}, at);
+            {.service = "engine", .prompt = prompt, .prompt_tokens = tokens, .places = &places},
+            at);
     }
 
     // Sends a request and notes where its prompt went, as an exchange does.
--- a/Tests/Decisions/relay_decisions_test.cpp
+++ b/Tests/Decisions/relay_decisions_test.cpp
@@ -140,6 +140,28 @@
     EXPECT_EQ(mirror.position(), 5U);
 }
 
+// roll_term during a release: an entry that has just started hands records on.  It lists only
+// the keys that are left, so that a drop before its listing is not among its records
+// (DRAIN, pcf-cutline-grown trouble-2 --seed 271864689206).
+TEST(record_mirror, tells_who_needs_a_listing_to_hear_of_a_drop)
+{
+    record_mirror old([](const mirrored_record& /*record*/) {});
+    old.take({.key = "gone", .value = "1", .offset = 1});
+    old.take({.key = "kept", .value = "1", .offset = 2});
+    old.advance(3);
+    record_mirror fresh([](const mirrored_record& /*record*/) {});
+    fresh.take_listing({{.key = "kept", .value = "1", .offset = 2}}, 4); // 3 dropped "gone"
+    fresh.take({.key = "new", .value = "1", .offset = 4});
+    fresh.advance(5);
+    ASSERT_LT(*old.position(), fresh.drops_known_from());
+    old.take_listing(fresh.listing(), *fresh.position());
+    const auto left = old.listing();
+    ASSERT_EQ(left.size(), 2U);
+    EXPECT_EQ(left[0].key, "kept");
+    EXPECT_EQ(left[1].key, "new");
+    EXPECT_EQ(old.position(), 5U);
+}
+
 TEST(prompt_places, forget_servers_and_what_was_not_used_for_long)
 {
     prompt_places places({.remembered = 1000ms, .most_parts = 2});
--- a/Tests/Platform/platform_test.cpp
+++ b/Tests/Platform/platform_test.cpp
@@ -52,9 +52,8 @@
     std::vector<finding> findings;
     EXPECT_FALSE(parse_settings(bad.dump(), "node.json", findings));
     const std::string text = report(findings);
-    for (const char* place :
-         {"/Zone: is a number", "/Listen/Readiness: is missing", "/Platform/Address: `nowhere`",
-          "/Bounds/GraceS: 0 is too small"}) {
+    for (const char* place : {"/Zone: is a number", "/Listen/Readiness: is missing",
+                              "/Platform/Address: `nowhere`", "/Bounds/GraceS: 0 is too small"}) {
         EXPECT_NE(text.find(place), std::string::npos) << place << " in\n" << text;
     }
 }
--- a/Tests/Relay/http_reader_test.cpp
+++ b/Tests/Relay/http_reader_test.cpp
@@ -3,7 +3,6 @@
 #include "http_reader.h"
 
 #include <gtest/gtest.h>
-
 #include <rapidcheck/gtest.h>
 
 using namespace cyclamen;
@@ -19,15 +18,16 @@
 };
 
 // Feeds `text` in parts of the sizes given, over and over.
-reading read_in_parts(http_side side, const std::string& text, const std::vector<std::size_t>& sizes)
+reading read_in_parts(http_side side, const std::string& text,
+                      const std::vector<std::size_t>& sizes)
 {
     reading result;
-    http_reader reader(side,
-                       {.on_head = [&](http_head& head) { result.head = head; },
-                        .on_body = [&](std::string_view data) { result.body.append(data); }});
+    http_reader reader(side, {.on_head = [&](http_head& head) { result.head = head; },
+                              .on_body = [&](std::string_view data) { result.body.append(data); }});
     std::size_t turn = 0;
     while (result.used < text.size() && !reader.complete() && reader.fault() == http_fault::none) {
-        const std::size_t size = sizes.empty() ? text.size() : 1 + sizes[turn++ % sizes.size()] % 40;
+        const std::size_t size =
+            sizes.empty() ? text.size() : 1 + sizes[turn++ % sizes.size()] % 40;
         result.used += reader.feed(std::string_view(text).substr(result.used, size));
     }
     result.complete = reader.complete();
--- a/Tests/Relay/relay_harness.cpp
+++ b/Tests/Relay/relay_harness.cpp
@@ -62,8 +62,7 @@
 {
     std::size_t done = 0;
     while (done < text.size()) {
-        const ssize_t count =
-            ::send(socket, text.data() + done, text.size() - done, MSG_NOSIGNAL);
+        const ssize_t count = ::send(socket, text.data() + done, text.size() - done, MSG_NOSIGNAL);
         if (count <= 0) {
             return; // the other side has gone; the test looks at that itself
         }
@@ -73,7 +72,9 @@
 
 void reset_socket(int socket)
 {
-    const struct linger hard {.l_onoff = 1, .l_linger = 0};
+    const struct linger hard {
+        .l_onoff = 1, .l_linger = 0
+    };
     setsockopt(socket, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
     ::close(socket);
 }
@@ -315,8 +316,8 @@
     };
     relay_configuration result{.version = version, .keys_required = true};
     result.services["shop"] = {.name = "shop"};
-    result.routes = {route("/view/", route_kind::safe), route("/pay/", route_kind::unsafe),
-                     route("/open/", route_kind::safe), route("/tell/", route_kind::stream),
+    result.routes = {route("/view/", route_kind::safe),     route("/pay/", route_kind::unsafe),
+                     route("/open/", route_kind::safe),     route("/tell/", route_kind::stream),
                      route("/resume/", route_kind::stream), route("/brief/", route_kind::safe)};
     result.routes[2].open = true;
     result.routes[4].resumable = true;
@@ -342,6 +343,6 @@
 std::string answer_of(const std::string& id, const std::string& body, int status,
                       const std::string& headers)
 {
-    return fmt::format("HTTP/1.1 {} Any\r\nAttempt-Id: {}\r\nContent-Length: {}\r\n{}\r\n{}", status,
-                       id, body.size(), headers, body);
+    return fmt::format("HTTP/1.1 {} Any\r\nAttempt-Id: {}\r\nContent-Length: {}\r\n{}\r\n{}",
+                       status, id, body.size(), headers, body);
 }
--- a/Tests/Relay/relay_harness.h
+++ b/Tests/Relay/relay_harness.h
@@ -124,8 +124,7 @@
 
 /// A request of the kinds that `relay_harness::configuration` routes.
 std::string get(const std::string& path, const std::string& headers = "");
-std::string post(const std::string& path, const std::string& body,
-                 const std::string& headers = "");
+std::string post(const std::string& path, const std::string& body, const std::string& headers = "");
 /// A whole answer with a length, that echoes the request's id.
 std::string answer_of(const std::string& id, const std::string& body, int status = 200,
                       const std::string& headers = "");
--- a/Tests/Relay/relay_knowledge_test.cpp
+++ b/Tests/Relay/relay_knowledge_test.cpp
@@ -82,8 +82,7 @@
     fleet.knowledge().drop_backend("s1");
     EXPECT_NE(fleet.knowledge().backends().find("s1"), nullptr);
     fleet.knowledge().confirmed_by_peer(100ms);
-    EXPECT_TRUE(
-        fleet.wait_for([&] { return fleet.knowledge().backends().find("s1") == nullptr; }));
+    EXPECT_TRUE(fleet.wait_for([&] { return fleet.knowledge().backends().find("s1") == nullptr; }));
 }
 
 TEST(relay_stop, finishes_open_requests_and_closes_idle_connections)
--- a/Tests/Relay/relay_repeats_test.cpp
+++ b/Tests/Relay/relay_repeats_test.cpp
@@ -10,36 +10,36 @@
 
 class relay_repeats : public testing::Test {
 protected:
-    relay_repeats() : shops_{&fleet_.add_backend("s1"), &fleet_.add_backend("s2")}
+    relay_repeats() : shops{&fleet.add_backend("s1"), &fleet.add_backend("s2")}
     {
-        fleet_.configure(relay_harness::configuration());
+        fleet.configure(relay_harness::configuration());
     }
 
-    std::size_t arrivals() const { return shops_[0]->requests() + shops_[1]->requests(); }
+    std::size_t arrivals() const { return shops[0]->requests() + shops[1]->requests(); }
 
     // The backend server with the latest request, and the index of that.
     scripted_backend& latest(std::size_t& index)
     {
-        scripted_backend& shop = shops_[0]->requests() > seen_[0] ? *shops_[0] : *shops_[1];
-        seen_ = {shops_[0]->requests(), shops_[1]->requests()};
+        scripted_backend& shop = shops[0]->requests() > seen[0] ? *shops[0] : *shops[1];
+        seen = {shops[0]->requests(), shops[1]->requests()};
         index = shop.requests() - 1;
         return shop;
     }
 
     void expect_arrivals(std::size_t count)
     {
-        ASSERT_TRUE(fleet_.wait_for([&] { return arrivals() == count; }));
+        ASSERT_TRUE(fleet.wait_for([&] { return arrivals() == count; }));
     }
 
     void expect_status(scripted_caller& caller, int status)
     {
-        ASSERT_TRUE(fleet_.wait_for([&] { return caller.status() != 0; }));
+        ASSERT_TRUE(fleet.wait_for([&] { return caller.status() != 0; }));
         EXPECT_EQ(caller.status(), status);
     }
 
-    relay_harness fleet_;
-    std::array<scripted_backend*, 2> shops_;
-    std::array<std::size_t, 2> seen_{};
+    relay_harness fleet;
+    std::array<scripted_backend*, 2> shops;
+    std::array<std::size_t, 2> seen{};
 };
 
 const std::string rejection = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
@@ -50,7 +50,7 @@
 
 TEST_F(relay_repeats, a_payment_whose_answer_was_lost_is_not_sent_again)
 {
-    scripted_caller& caller = fleet_.add_caller();
+    scripted_caller& caller = fleet.add_caller();
     caller.send(post("/pay/", "x"));
     expect_arrivals(1);
     std::size_t index = 0;
@@ -61,7 +61,7 @@
 
 TEST_F(relay_repeats, a_payment_goes_elsewhere_after_a_proof_that_it_did_not_run)
 {
-    scripted_caller& caller = fleet_.add_caller();
+    scripted_caller& caller = fleet.add_caller();
     caller.send(post("/pay/", "x"));
     expect_arrivals(1);
     std::size_t index = 0;
@@ -73,7 +73,7 @@
 
 TEST_F(relay_repeats, a_payment_that_every_server_rejected_is_told_as_not_run)
 {
-    scripted_caller& caller = fleet_.add_caller();
+    scripted_caller& caller = fleet.add_caller();
     caller.send(post("/pay/", "x"));
     for (std::size_t count = 1; count <= 2; ++count) {
         expect_arrivals(count);
@@ -86,8 +86,8 @@
 
 TEST_F(relay_repeats, a_payment_is_never_told_as_not_run_once_it_may_have_run)
 {
-    fleet_.relay().set_entries(1);
-    scripted_caller& caller = fleet_.add_caller();
+    fleet.relay().set_entries(1);
+    scripted_caller& caller = fleet.add_caller();
     caller.send(post("/pay/", "x"));
     expect_arrivals(1);
     std::size_t index = 0;
@@ -99,7 +99,7 @@
 
 TEST_F(relay_repeats, a_servers_own_failure_of_a_payment_is_passed_on)
 {
-    scripted_caller& caller = fleet_.add_caller();
+    scripted_caller& caller = fleet.add_caller();
     caller.send(post("/pay/", "x"));
     expect_arrivals(1);
     std::size_t index = 0;
@@ -111,7 +111,7 @@
 
 TEST_F(relay_repeats, a_look_up_goes_to_another_server_after_a_failure_or_a_lost_answer)
 {
-    scripted_caller& failed = fleet_.add_caller();
+    scripted_caller& failed = fleet.add_caller();
     failed.send(get("/view/"));
     expect_arrivals(1);
     std::size_t index = 0;
@@ -123,7 +123,7 @@
     second.answer(index, answer_of("q1", "seen"));
     expect_status(failed, 200);
 
-    scripted_caller& lost = fleet_.add_caller();
+    scripted_caller& lost = fleet.add_caller();
     lost.send(get("/view/"));
     expect_arrivals(3);
     latest(index).close(index);
@@ -134,13 +134,13 @@
 
 TEST_F(relay_repeats, a_look_up_is_sent_to_no_more_servers_than_its_route_allows)
 {
-    scripted_backend& third = fleet_.add_backend("s3");
-    scripted_caller& caller = fleet_.add_caller();
+    scripted_backend& third = fleet.add_backend("s3");
+    scripted_caller& caller = fleet.add_caller();
     caller.send(get("/view/"));
     const auto all = [&] { return arrivals() + third.requests(); };
     for (std::size_t count = 1; count <= 2; ++count) {
-        ASSERT_TRUE(fleet_.wait_for([&] { return all() == count; }));
-        scripted_backend* open[] = {shops_[0], shops_[1], &third};
+        ASSERT_TRUE(fleet.wait_for([&] { return all() == count; }));
+        scripted_backend* open[] = {shops[0], shops[1], &third};
         for (scripted_backend* shop : open) {
             if (shop->requests() > 0 && !shop->left(shop->requests() - 1)) {
                 shop->answer(shop->requests() - 1, answer_of("q1", "oops", 500));
@@ -153,12 +153,12 @@
 
 TEST_F(relay_repeats, a_server_that_refuses_connections_costs_nothing)
 {
-    shops_[0]->stop_listening();
-    shops_[1]->stop_listening();
-    scripted_backend& third = fleet_.add_backend("s3");
-    scripted_caller& caller = fleet_.add_caller();
+    shops[0]->stop_listening();
+    shops[1]->stop_listening();
+    scripted_backend& third = fleet.add_backend("s3");
+    scripted_caller& caller = fleet.add_caller();
     caller.send(post("/pay/", "x"));
-    ASSERT_TRUE(fleet_.wait_for([&] { return third.requests() == 1; }));
+    ASSERT_TRUE(fleet.wait_for([&] { return third.requests() == 1; }));
     third.answer(0, answer_of("q1", "paid"));
     expect_status(caller, 200);
 }
@@ -185,24 +185,25 @@
 
 TEST_F(relay_repeats, a_connection_is_given_up_before_the_server_says_it_ends)
 {
-    scripted_caller& caller = fleet_.add_caller();
+    scripted_caller& caller = fleet.add_caller();
     caller.send(get("/view/"));
     expect_arrivals(1);
     std::size_t index = 0;
     scripted_backend& shop = latest(index);
     shop.answer(index, answer_of("q1", "seen", 200, "Keep-Alive: timeout=1\r\n"));
-    EXPECT_TRUE(fleet_.wait_for([&] { return shop.left(index); }));
+    EXPECT_TRUE(fleet.wait_for([&] { return shop.left(index); }));
 }
 
 TEST_F(relay_repeats, a_broken_stream_goes_on_after_its_last_whole_event)
 {
-    scripted_caller& caller = fleet_.add_caller();
+    scripted_caller& caller = fleet.add_caller();
     caller.send(post("/resume/", "x"));
     expect_arrivals(1);
     std::size_t index = 0;
     scripted_backend& first = latest(index);
     first.answer(index, event_stream + "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
-    ASSERT_TRUE(fleet_.wait_for([&] { return caller.received().find("data: b") != std::string::npos; }));
+    ASSERT_TRUE(
+        fleet.wait_for([&] { return caller.received().find("data: b") != std::string::npos; }));
     first.reset(index);
     expect_arrivals(2);
     scripted_backend& second = latest(index);
@@ -210,7 +211,7 @@
     second.answer(index, "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nServer-Signature: second\r\n"
                          "Content-Type: text/event-stream\r\n\r\nid: 3\ndata: c\n\n");
     second.close(index);
-    ASSERT_TRUE(fleet_.wait_for([&] { return caller.received().ends_with("0\r\n\r\n"); }));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("0\r\n\r\n"); }));
     EXPECT_NE(caller.received().find("data: c"), std::string::npos);
     EXPECT_EQ(caller.received().find("second"), std::string::npos);
     EXPECT_EQ(caller.received().find("id: 3\nda\n"), std::string::npos);
@@ -218,30 +219,35 @@
 
 TEST_F(relay_repeats, a_stream_that_may_not_go_on_elsewhere_ends_without_its_end)
 {
-    scripted_caller& caller = fleet_.add_caller();
+    scripted_caller& caller = fleet.add_caller();
     caller.send(post("/tell/", "x"));
     expect_arrivals(1);
     std::size_t index = 0;
     scripted_backend& shop = latest(index);
     shop.answer(index, event_stream + "id: 1\ndata: a\n\n");
-    ASSERT_TRUE(fleet_.wait_for([&] { return caller.received().find("data: a") != std::string::npos; }));
+    ASSERT_TRUE(
+        fleet.wait_for([&] { return caller.received().find("data: a") != std::string::npos; }));
     shop.reset(index);
-    ASSERT_TRUE(fleet_.wait_for([&] { return caller.ended(); }));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.ended(); }));
     EXPECT_EQ(caller.received().find("0\r\n\r\n"), std::string::npos);
     EXPECT_EQ(arrivals(), 1U);
 }
 
 TEST_F(relay_repeats, nothing_is_sent_to_a_server_that_leaves_or_to_a_zone_that_is_out)
 {
-    scripted_backend& away = fleet_.add_backend("s3", "shop", "b");
-    fleet_.knowledge().drop_backend("s1");
-    fleet_.knowledge().take_backend(
-        {.id = "s2", .service = "shop", .zone = "a", .draining = true, .started_at = 1, .sequence = 2});
-    scripted_caller& caller = fleet_.add_caller();
+    scripted_backend& away = fleet.add_backend("s3", "shop", "b");
+    fleet.knowledge().drop_backend("s1");
+    fleet.knowledge().take_backend({.id = "s2",
+                                    .service = "shop",
+                                    .zone = "a",
+                                    .draining = true,
+                                    .started_at = 1,
+                                    .sequence = 2});
+    scripted_caller& caller = fleet.add_caller();
     caller.send(get("/view/"));
-    ASSERT_TRUE(fleet_.wait_for([&] { return away.requests() == 1; }));
-    fleet_.knowledge().take_zones_out({"b"});
-    scripted_caller& refused = fleet_.add_caller();
+    ASSERT_TRUE(fleet.wait_for([&] { return away.requests() == 1; }));
+    fleet.knowledge().take_zones_out({"b"});
+    scripted_caller& refused = fleet.add_caller();
     refused.send(get("/view/"));
     expect_status(refused, 503);
     EXPECT_EQ(arrivals(), 0U);
--- a/Tests/Relay/relay_test.cpp
+++ b/Tests/Relay/relay_test.cpp
@@ -10,32 +10,29 @@
 
 class relay : public testing::Test {
 protected:
-    relay() : shop_(fleet_.add_backend("s1"))
-    {
-        fleet_.configure(relay_harness::configuration());
-    }
+    relay() : shop(fleet.add_backend("s1")) { fleet.configure(relay_harness::configuration()); }
 
     // Sends a request and waits until the backend server has it.
     scripted_caller& ask(const std::string& text)
     {
-        scripted_caller& caller = fleet_.add_caller();
-        const std::size_t before = shop_.requests();
+        scripted_caller& caller = fleet.add_caller();
+        const std::size_t before = shop.requests();
         caller.send(text);
-        EXPECT_TRUE(fleet_.wait_for([&] { return shop_.requests() > before; }));
+        EXPECT_TRUE(fleet.wait_for([&] { return shop.requests() > before; }));
         return caller;
     }
 
     // Sends a request that the relay answers itself.
     scripted_caller& ask_relay(const std::string& text)
     {
-        scripted_caller& caller = fleet_.add_caller();
+        scripted_caller& caller = fleet.add_caller();
         caller.send(text);
-        EXPECT_TRUE(fleet_.wait_for([&] { return caller.status() != 0 || caller.ended(); }));
+        EXPECT_TRUE(fleet.wait_for([&] { return caller.status() != 0 || caller.ended(); }));
         return caller;
     }
 
-    relay_harness fleet_;
-    scripted_backend& shop_;
+    relay_harness fleet;
+    scripted_backend& shop;
 };
 
 } // namespace
@@ -43,10 +40,10 @@
 TEST_F(relay, passes_method_path_query_and_body_unchanged)
 {
     scripted_caller& caller = ask(post("/pay/%7Ea?b=c%20d&e", "a body\r\n\r\n"));
-    EXPECT_TRUE(shop_.request(0).starts_with("POST /pay/%7Ea?b=c%20d&e HTTP/1.1\r\n"));
-    EXPECT_EQ(shop_.body(0), "a body\r\n\r\n");
-    shop_.answer(0, answer_of("q1", "done", 200, "X-Own: 1\r\n"));
-    ASSERT_TRUE(fleet_.wait_for([&] { return caller.received().ends_with("done"); }));
+    EXPECT_TRUE(shop.request(0).starts_with("POST /pay/%7Ea?b=c%20d&e HTTP/1.1\r\n"));
+    EXPECT_EQ(shop.body(0), "a body\r\n\r\n");
+    shop.answer(0, answer_of("q1", "done", 200, "X-Own: 1\r\n"));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("done"); }));
     EXPECT_NE(caller.received().find("X-Own: 1"), std::string::npos);
 }
 
@@ -54,19 +51,19 @@
 {
     ask("POST /pay/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
         "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
-    EXPECT_EQ(shop_.body(0), "abcde");
-    EXPECT_EQ(shop_.header(0, "Content-Length"), "5");
+    EXPECT_EQ(shop.body(0), "abcde");
+    EXPECT_EQ(shop.header(0, "Content-Length"), "5");
 }
 
 TEST_F(relay, strips_headers_that_only_the_system_may_set)
 {
     ask(get("/view/", "Tenant: foam\r\nhold: 7\r\nPin-Ms: 9\r\nKv-Backup: 1.1.1.1:1\r\n"
                       "Kv-From: 1.1.1.1:1/x\r\nRequest-Priority: 0\r\nExpect-Instance: other\r\n"));
-    EXPECT_EQ(shop_.header(0, "Tenant"), "medlar");
-    EXPECT_EQ(shop_.header(0, "Expect-Instance"), "s1");
-    for (const char* forged : {"hold", "Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Request-Priority",
-                               "Authorization"}) {
-        EXPECT_EQ(shop_.header(0, forged), "") << forged;
+    EXPECT_EQ(shop.header(0, "Tenant"), "medlar");
+    EXPECT_EQ(shop.header(0, "Expect-Instance"), "s1");
+    for (const char* forged :
+         {"hold", "Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Request-Priority", "Authorization"}) {
+        EXPECT_EQ(shop.header(0, forged), "") << forged;
     }
 }
 
@@ -74,25 +71,25 @@
 {
     ask(get("/view/", "Connection: keep-alive, X-Hop, Attempt-Id\r\nX-Hop: 1\r\nKeep-Alive: 3\r\n"
                       "X-End: 2\r\n"));
-    EXPECT_EQ(shop_.header(0, "X-Hop"), "");
-    EXPECT_EQ(shop_.header(0, "Keep-Alive"), "");
-    EXPECT_EQ(shop_.header(0, "X-End"), "2");
-    EXPECT_EQ(shop_.header(0, "Attempt-Id"), "q1");
+    EXPECT_EQ(shop.header(0, "X-Hop"), "");
+    EXPECT_EQ(shop.header(0, "Keep-Alive"), "");
+    EXPECT_EQ(shop.header(0, "X-End"), "2");
+    EXPECT_EQ(shop.header(0, "Attempt-Id"), "q1");
 }
 
 TEST_F(relay, hands_on_what_is_left_of_the_deadline_and_no_more_than_the_routes_timeout)
 {
     ask(get("/view/", "Deadline-Ms: 1000\r\n"));
-    EXPECT_LE(std::stoi(shop_.header(0, "Deadline-Ms")), 1000);
-    EXPECT_GT(std::stoi(shop_.header(0, "Deadline-Ms")), 500);
+    EXPECT_LE(std::stoi(shop.header(0, "Deadline-Ms")), 1000);
+    EXPECT_GT(std::stoi(shop.header(0, "Deadline-Ms")), 500);
     ask(get("/view/", "Deadline-Ms: 60000\r\n"));
-    EXPECT_LE(std::stoi(shop_.header(1, "Deadline-Ms")), 3000);
+    EXPECT_LE(std::stoi(shop.header(1, "Deadline-Ms")), 3000);
 }
 
 TEST_F(relay, serves_an_open_route_without_a_key_and_names_no_account)
 {
     ask("GET /open/ HTTP/1.1\r\nHost: h.example\r\nTenant: medlar\r\n\r\n");
-    EXPECT_EQ(shop_.header(0, "Tenant"), "");
+    EXPECT_EQ(shop.header(0, "Tenant"), "");
 }
 
 TEST_F(relay, refuses_an_unknown_key_and_an_unknown_route)
@@ -100,15 +97,15 @@
     EXPECT_EQ(ask_relay("GET /view/ HTTP/1.1\r\nHost: h.example\r\n\r\n").status(), 401);
     EXPECT_EQ(ask_relay(get("/none/")).status(), 404);
     EXPECT_EQ(ask_relay("GET /view/ HTTP/1.1\r\nHost: other\r\n\r\n").status(), 404);
-    EXPECT_EQ(shop_.requests(), 0U);
+    EXPECT_EQ(shop.requests(), 0U);
 }
 
 // A short answer was lost when its connection was to be closed after it.
 TEST_F(relay, writes_the_whole_answer_before_it_closes)
 {
-    scripted_caller& caller = fleet_.add_caller();
+    scripted_caller& caller = fleet.add_caller();
     caller.send(get("/none/", "Connection: close\r\n"));
-    ASSERT_TRUE(fleet_.wait_for([&] { return caller.ended(); }));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.ended(); }));
     EXPECT_EQ(caller.status(), 404);
     EXPECT_TRUE(caller.received().ends_with("}"));
 }
@@ -116,107 +113,108 @@
 TEST_F(relay, keeps_a_connection_and_answers_pipelined_requests_in_order)
 {
     scripted_caller& caller = ask(get("/view/1") + get("/view/2"));
-    shop_.answer(0, answer_of("q1", "first"));
-    ASSERT_TRUE(fleet_.wait_for([&] { return shop_.requests() == 2; }));
-    shop_.answer(1, answer_of("q1", "second"));
-    ASSERT_TRUE(fleet_.wait_for([&] { return caller.received().ends_with("second"); }));
+    shop.answer(0, answer_of("q1", "first"));
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 2; }));
+    shop.answer(1, answer_of("q1", "second"));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("second"); }));
     EXPECT_LT(caller.received().find("first"), caller.received().find("second"));
-    EXPECT_EQ(shop_.connections(), 1U);
+    EXPECT_EQ(shop.connections(), 1U);
 }
 
 TEST_F(relay, asks_for_a_body_that_waits_to_be_asked_for)
 {
-    scripted_caller& caller = fleet_.add_caller();
+    scripted_caller& caller = fleet.add_caller();
     caller.send("POST /pay/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
                 "Content-Length: 3\r\nExpect: 100-continue\r\n\r\n");
-    ASSERT_TRUE(fleet_.wait_for([&] { return caller.status() == 100; }));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.status() == 100; }));
     caller.send("abc");
-    ASSERT_TRUE(fleet_.wait_for([&] { return shop_.requests() == 1; }));
-    EXPECT_EQ(shop_.body(0), "abc");
-    EXPECT_EQ(shop_.header(0, "Expect"), "");
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 1; }));
+    EXPECT_EQ(shop.body(0), "abc");
+    EXPECT_EQ(shop.header(0, "Expect"), "");
 }
 
 TEST_F(relay, answers_head_without_a_body)
 {
     scripted_caller& caller = ask("HEAD /view/ HTTP/1.1\r\nHost: h.example\r\n"
                                   "Authorization: Bearer k1\r\n\r\n");
-    shop_.answer(0, "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n");
-    ASSERT_TRUE(fleet_.wait_for([&] { return caller.received().ends_with("\r\n\r\n"); }));
+    shop.answer(0, "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n");
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("\r\n\r\n"); }));
     caller.send(get("/view/"));
-    EXPECT_TRUE(fleet_.wait_for([&] { return shop_.requests() == 2; }));
+    EXPECT_TRUE(fleet.wait_for([&] { return shop.requests() == 2; }));
 }
 
 TEST_F(relay, gives_an_answer_without_a_length_to_its_end)
 {
     scripted_caller& caller = ask(get("/view/", "Connection: close\r\n"));
-    shop_.answer(0, "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\n\r\nsome");
-    shop_.close(0);
-    ASSERT_TRUE(fleet_.wait_for([&] { return caller.ended(); }));
+    shop.answer(0, "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\n\r\nsome");
+    shop.close(0);
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.ended(); }));
     EXPECT_TRUE(caller.received().ends_with("4\r\nsome\r\n0\r\n\r\n"));
 }
 
 TEST_F(relay, never_lets_an_answer_that_broke_off_look_complete)
 {
     scripted_caller& caller = ask(post("/pay/", "x"));
-    shop_.answer(0, "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\n\r\nsome");
-    ASSERT_TRUE(fleet_.wait_for([&] { return caller.status() == 200; }));
-    shop_.reset(0);
-    ASSERT_TRUE(fleet_.wait_for([&] { return caller.ended(); }));
+    shop.answer(0, "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\n\r\nsome");
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.status() == 200; }));
+    shop.reset(0);
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.ended(); }));
     EXPECT_EQ(caller.received().find("0\r\n\r\n"), std::string::npos);
 }
 
 TEST_F(relay, closes_a_connection_that_said_more_than_one_answer)
 {
     scripted_caller& caller = ask(get("/view/"));
-    shop_.answer(0, answer_of("q1", "mine") + answer_of("q0", "whose?"));
-    ASSERT_TRUE(fleet_.wait_for([&] { return caller.received().ends_with("mine"); }));
-    ASSERT_TRUE(fleet_.wait_for([&] { return shop_.left(0); }));
+    shop.answer(0, answer_of("q1", "mine") + answer_of("q0", "whose?"));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("mine"); }));
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.left(0); }));
     EXPECT_EQ(caller.received().find("whose"), std::string::npos);
 }
 
 TEST_F(relay, skips_a_late_answer_to_an_earlier_request)
 {
     scripted_caller& caller = ask(get("/view/"));
-    shop_.answer(0, answer_of("q0", "late") + answer_of("q1", "mine"));
-    ASSERT_TRUE(fleet_.wait_for([&] { return caller.received().ends_with("mine"); }));
+    shop.answer(0, answer_of("q0", "late") + answer_of("q1", "mine"));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("mine"); }));
     EXPECT_EQ(caller.received().find("late"), std::string::npos);
 }
 
 TEST_F(relay, leaves_a_connection_whose_answer_came_before_the_whole_request_was_sent)
 {
-    shop_.stop_reading();
-    scripted_caller& caller = fleet_.add_caller();
+    shop.stop_reading();
+    scripted_caller& caller = fleet.add_caller();
     caller.send(post("/pay/", std::string(4000000, 'x')));
-    ASSERT_TRUE(fleet_.wait_for([&] { return shop_.connections() == 1; }));
-    shop_.answer_on_connection(0, answer_of("q1", "too long", 422));
-    ASSERT_TRUE(fleet_.wait_for([&] { return caller.status() == 422; }));
-    shop_.resume_reading();
-    EXPECT_TRUE(fleet_.wait_for([&] { return shop_.connection_ended(0); }));
-    EXPECT_EQ(shop_.requests(), 0U);
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.connections() == 1; }));
+    shop.answer_on_connection(0, answer_of("q1", "too long", 422));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.status() == 422; }));
+    shop.resume_reading();
+    EXPECT_TRUE(fleet.wait_for([&] { return shop.connection_ended(0); }));
+    EXPECT_EQ(shop.requests(), 0U);
 }
 
 TEST_F(relay, cancels_the_work_of_a_caller_that_left)
 {
     scripted_caller& caller = ask(post("/pay/", "x"));
-    const millis left_at = fleet_.core().now();
+    const millis left_at = fleet.core().now();
     caller.close();
-    ASSERT_TRUE(fleet_.wait_for([&] { return shop_.left(0); }));
-    EXPECT_LT(fleet_.core().now() - left_at, 500ms);
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.left(0); }));
+    EXPECT_LT(fleet.core().now() - left_at, 500ms);
 }
 
 TEST_F(relay, gives_up_at_the_routes_timeout)
 {
-    const millis asked_at = fleet_.core().now();
+    const millis asked_at = fleet.core().now();
     scripted_caller& caller = ask(get("/brief/"));
-    ASSERT_TRUE(fleet_.wait_for([&] { return caller.status() != 0; }));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.status() != 0; }));
     EXPECT_EQ(caller.status(), 504);
-    EXPECT_LT(fleet_.core().now() - asked_at, 150ms + 500ms);
-    EXPECT_TRUE(fleet_.wait_for([&] { return shop_.left(0); }));
+    EXPECT_LT(fleet.core().now() - asked_at, 150ms + 500ms);
+    EXPECT_TRUE(fleet.wait_for([&] { return shop.left(0); }));
 }
 
 TEST_F(relay, refuses_what_could_be_read_as_two_requests)
 {
-    const std::string head = "POST /pay/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n";
+    const std::string head =
+        "POST /pay/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n";
     const std::string inner = "GET /view/ HTTP/1.1\r\nHost: h.example\r\n\r\n";
     for (const char* lengths :
          {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
@@ -224,9 +222,11 @@
           "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding : chunked\r\n",
           "Transfer-Encoding: chunked, identity\r\n", "Content-Length: 5 5\r\n",
           "X Y: 1\r\nContent-Length: 0\r\n"}) {
-        EXPECT_EQ(ask_relay(head + lengths + "\r\n0\r\n\r\n" + inner).status(), 400) << lengths;
+        std::string text = head;
+        text.append(lengths).append("\r\n0\r\n\r\n").append(inner);
+        EXPECT_EQ(ask_relay(text).status(), 400) << lengths;
     }
-    EXPECT_EQ(shop_.requests(), 0U);
+    EXPECT_EQ(shop.requests(), 0U);
 }
 
 // A process that was busy finds a request and the end of the idle time at once.
@@ -234,28 +234,28 @@
 {
     relay_configuration tight = relay_harness::configuration(2);
     tight.limits.idle_time = 60ms;
-    fleet_.configure(tight);
-    scripted_caller& caller = fleet_.add_caller();
+    fleet.configure(tight);
+    scripted_caller& caller = fleet.add_caller();
     caller.send(get("/none/"));
-    ASSERT_TRUE(fleet_.wait_for([&] { return caller.status() == 404; }));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.status() == 404; }));
     caller.send(get("/view/"));
-    const millis until = fleet_.core().now() + 100ms;
-    while (fleet_.core().now() < until) {
+    const millis until = fleet.core().now() + 100ms;
+    while (fleet.core().now() < until) {
         // busy
     }
-    EXPECT_TRUE(fleet_.wait_for([&] { return shop_.requests() == 1; }));
+    EXPECT_TRUE(fleet.wait_for([&] { return shop.requests() == 1; }));
 }
 
 TEST_F(relay, keeps_callers_to_their_limits)
 {
     relay_configuration tight = relay_harness::configuration(2);
     tight.limits = {.head_bytes = 600, .body_bytes = 100, .head_time = 100ms, .idle_time = 200ms};
-    fleet_.configure(tight);
+    fleet.configure(tight);
     EXPECT_EQ(ask_relay(get("/view/", "X: " + std::string(700, 'x') + "\r\n")).status(), 431);
     EXPECT_EQ(ask_relay(post("/pay/", std::string(101, 'x'))).status(), 413);
     EXPECT_EQ(ask_relay("GET /view/ HTTP/1.1\r\nHost:").status(), 408);
-    scripted_caller& idle = fleet_.add_caller();
-    EXPECT_TRUE(fleet_.wait_for([&] { return idle.ended(); }));
+    scripted_caller& idle = fleet.add_caller();
+    EXPECT_TRUE(fleet.wait_for([&] { return idle.ended(); }));
     EXPECT_EQ(idle.received(), "");
-    EXPECT_EQ(shop_.requests(), 0U);
+    EXPECT_EQ(shop.requests(), 0U);
 }
