--- a/Utilities/update-manual.sh
+++ b/Utilities/update-manual.sh
@@ -13,6 +13,10 @@
 `--check-settings` does only that.  The tables come from the programs
 (`--print-settings`); `Utilities/update-manual.sh` writes this page.
 
+`cyclamen-platform-entry` takes no INI file: it reads the platform's JSON settings, whose
+path is in `CYCLAMENSHORE_CONFIG`, checks them in the same way, ignores fields that it does
+not know, and reads them again on SIGHUP and when the file changes.
+
 ## cyclamen-entry
 
 TEXT
