--- a/Source/backend_table.cpp
+++ b/Source/backend_table.cpp
@@ -8,9 +8,8 @@
 
 unsigned backend::load(millis now) const
 {
-    constexpr millis lifetime = backend_table_options{}.report_lifetime;
     unsigned others = elsewhere;
-    if (now - reported_at < lifetime) {
+    if (now - reported_at < load_report_lifetime) {
         const unsigned held = reported.running + reported.waiting;
         others = std::max(others, held > own_when_reported ? held - own_when_reported : 0);
     }
--- a/Source/backend_table.h
+++ b/Source/backend_table.h
@@ -13,6 +13,9 @@
 
 namespace cyclamen {
 
+/// Older reports of load than this are not used: requests come and go within a second.
+inline constexpr millis load_report_lifetime = 1000ms;
+
 /// What a backend server said of its load beside an answer.
 struct backend_load {
     unsigned running = 0;
@@ -41,10 +44,9 @@
 };
 
 struct backend_table_options {
-    millis return_grace = 2300ms;    // for entries that lapsed while the source was away
-    millis cold_slack = 300ms;       // added to what a server says of its cold start
-    millis suspicion = 2500ms;       // a server that was unreachable counts as cold so long
-    millis report_lifetime = 1000ms; // older reports of load are not used
+    millis return_grace = 2300ms; // for entries that lapsed while the source was away
+    millis cold_slack = 300ms;    // added to what a server says of its cold start
+    millis suspicion = 2500ms;    // a server that was unreachable counts as cold so long
 };
 
 /// All backend servers that are known, and which of them may be given requests.  No
--- a/Source/relay_configuration.h
+++ b/Source/relay_configuration.h
@@ -46,14 +46,11 @@
     bool open = false;            // needs no key
     bool prompt_affinity = false; // requests share parts of their prompts
     bool resumable = false;       // a stream may go on at another backend server
-    millis longest_pause{0};      // between events; 0 is any
 };
 
 struct relay_service {
     std::string name;
-    unsigned most_connections = 0;     // of a backend server, from all entries; 0 is any
     double cold_starts_per_second = 0; // that a cold backend server bears; 0 is any
-    bool engine = false;               // serves a model, and caches prompts
 };
 
 struct client_account {
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -25,15 +25,16 @@
     // relay leaves it so long to do so.
     millis answer_slack = 120ms;
     millis default_deadline = 60000ms; // where neither caller nor route sets one
-    // A request that no server may take now waits so long, in eighths of its route's target.
-    unsigned wait_eighths = 1;
+    // A request that no server may take now waits for this share of its route's target; a
+    // longer wait would take the chance of a return in time.
+    double wait_share = 0.125;
     millis wait_step = 20ms; // between two choices of a waiting request
     // For refused callers; spread from half of it to one and a half times.
     millis retry_after = 300ms;
     // Of the time left, at most: callers honour a third of it.
     double retry_after_share = 0.3;
-    // Refused callers that have few tries left return when a lost source is likely back:
-    // this share of their time, spread from two thirds of it on.
+    // Of the time left, for callers of an entry that knows no configuration yet: they have few
+    // tries, and a source is away for seconds.  Spread from two thirds of it on.
     double unknowing_share = 0.3;
     std::size_t most_unsent = 262144; // bytes that wait for a slow caller
 };
--- a/Tests/Decisions/backend_choice_test.cpp
+++ b/Tests/Decisions/backend_choice_test.cpp
@@ -16,7 +16,7 @@
 // A pool of engines in three zones, and one service.
 struct pool {
     explicit pool(unsigned engines, double cold_starts = 0)
-        : service{.name = "engine", .cold_starts_per_second = cold_starts, .engine = true}
+        : service{.name = "engine", .cold_starts_per_second = cold_starts}
     {
         for (unsigned index = 0; index < engines; ++index) {
             add(index);
--- a/Tests/Platform/platform_test.cpp
+++ b/Tests/Platform/platform_test.cpp
@@ -105,7 +105,7 @@
     EXPECT_EQ(read->routes[0].services.size(), 2U);
     EXPECT_TRUE(read->routes[0].resumable);
     EXPECT_EQ(read->routes[1].kind, route_kind::unsafe); // a kind that is not known
-    EXPECT_TRUE(read->services.at("a").engine);
+    EXPECT_EQ(read->services.at("a").cold_starts_per_second, 11);
     EXPECT_EQ(read->limits.head_bytes, 100U);
     EXPECT_TRUE(read->keys_required);
     EXPECT_FALSE(decode_configuration("{\"Version\": \"x\"}", why));
