--- a/Source/peer_news.h
+++ b/Source/peer_news.h
@@ -22,9 +22,11 @@
 
 struct peer_news_options {
     net_address listen;
-    std::vector<net_address> seeds;   // peers to begin with; any of them may be gone
-    millis interval = 250ms;          // between two digests to one peer, in a fleet of up to ...
-    unsigned interval_peers = 5;      // ... so many peers; it grows with their number beyond
+    std::vector<net_address> seeds; // peers to begin with; any of them may be gone
+    // Between two digests to one peer.  With more peers than `interval_peers` it grows with
+    // their number, so that an entry sends 20 messages a second at any size.
+    millis interval = 250ms;
+    unsigned interval_peers = 5;
     unsigned peers_every = 8;         // digests from one that lists peers to the next
     millis silent_after = 1500ms;     // a peer's counts are not used any more
     millis forgotten_after = 60000ms; // a peer is not counted among the entries any more
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -157,8 +157,9 @@
     if (!waiting_since_) {
         waiting_since_ = now;
     }
-    const millis most =
-        std::max(context_.options.wait_step, route_->target * context_.options.wait_eighths / 8);
+    const auto share =
+        std::chrono::duration_cast<millis>(route_->target * context_.options.wait_share);
+    const millis most = std::max(context_.options.wait_step, share);
     if (now - *waiting_since_ >= most) {
         give_up(std::string(choice.reason));
         return;
