--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -1,5 +1,6 @@
 #include "client_connection.h"
 
+#include "event_time.h"
 #include "http_reader.h"
 
 #include <event2/buffer.h>
@@ -18,11 +19,6 @@
 
 constexpr int keepalive_probes = 2;
 
-timeval to_timeval(millis interval)
-{
-    return {.tv_sec = interval.count() / 1000, .tv_usec = (interval.count() % 1000) * 1000};
-}
-
 void set_option(evutil_socket_t socket, int level, int option, int value)
 {
     // A system without the option keeps its own; the call's deadline still ends it.
--- a/Source/http_client.cpp
+++ b/Source/http_client.cpp
@@ -1,16 +1,13 @@
 #include "http_client.h"
 
+#include "event_time.h"
+
 #include <event2/event.h>
 
 namespace cyclamen {
 
 namespace {
 
-timeval to_timeval(millis interval)
-{
-    return {.tv_sec = interval.count() / 1000, .tv_usec = (interval.count() % 1000) * 1000};
-}
-
 http_head head_of(const http_client_request& request)
 {
     http_head head;
--- a/Source/kernel.cpp
+++ b/Source/kernel.cpp
@@ -1,6 +1,7 @@
 #include "kernel.h"
 
 #include "event_log.h"
+#include "event_time.h"
 
 #include <event2/event.h>
 #include <nlohmann/json.hpp>
@@ -17,11 +18,6 @@
 constexpr millis log_flush_interval = 100ms;
 constexpr int forced_stop_status = 3;
 
-timeval to_timeval(millis interval)
-{
-    return {.tv_sec = interval.count() / 1000, .tv_usec = (interval.count() % 1000) * 1000};
-}
-
 void on_stop_signal(evutil_socket_t /*signal*/, short /*what*/, void* user)
 {
     static_cast<kernel*>(user)->stop();
