Hold a cold server's limit until it says that it is warm

Cause: the ramp earned a place by two completions and 100 ms, so that an engine whose requests are long reached five requests at once after nine completions; it bears four until it has completed twenty.

Ruled out: starts before the first lost run (the place of a lost run stays taken until its end is told, and the limit falls at the first).

Now completions earn nothing while the server's health answer says that it is cold, and a restart counts as such until the next answer.

--- a/Source/agent_core.h
+++ b/Source/agent_core.h
@@ -104,7 +104,12 @@
     void on_answer_data(attempt_id id, std::string_view data, millis now);
     void on_run_end(attempt_id id, run_end end, millis now);
     void on_backend_cold(millis now);
-    void on_backend_state(bool up) { backend_up_ = up; }
+    /// What a health probe said; `cold` as the server tells it.
+    void on_backend_state(bool up, bool cold)
+    {
+        backend_up_ = up;
+        ramp_.told_cold(cold);
+    }
 
     // From the instance list and the process.
     void set_leaving(bool leaving) { leaving_ = leaving; }
--- a/Source/agent_gate.cpp
+++ b/Source/agent_gate.cpp
@@ -163,7 +163,7 @@
         return;
     case http_end::not_sent:
         backend_up_ = false;
-        decisions_->on_backend_state(false);
+        decisions_->on_backend_state(false, true);
         decisions_->on_run_end(id, run_end::refused_connection, core_.now());
         return;
     case http_end::lost:
@@ -200,9 +200,8 @@
     ask_health([this, id](backend_health health) {
         if (!health.up) {
             log_event(event_id::backend_crashed, "backend={}", options_.backend.backend.text());
-            backend_up_ = false;
-            decisions_->on_backend_state(false);
         }
+        learn_health(health);
         decisions_->on_run_end(id, health.up ? run_end::lost : run_end::crashed, core_.now());
     });
 }
@@ -228,7 +227,7 @@
     }
     backend_cold_ = cold;
     backend_up_ = health.up;
-    decisions_->on_backend_state(health.up);
+    decisions_->on_backend_state(health.up, health.cold || !health.up);
 }
 
 void agent_gate::learn_from_directory()
--- a/Source/cold_start_ramp.cpp
+++ b/Source/cold_start_ramp.cpp
@@ -7,6 +7,7 @@
 void cold_start_ramp::restart(millis now)
 {
     cold_ = true;
+    told_cold_ = true;
     limit_ = std::min(options_.cold_limit, options_.capacity);
     completions_ = 0;
     last_step_ = now;
@@ -14,7 +15,7 @@
 
 void cold_start_ramp::completed(millis now)
 {
-    if (!cold_) {
+    if (!cold_ || told_cold_) {
         return;
     }
     ++completions_;
--- a/Source/cold_start_ramp.h
+++ b/Source/cold_start_ramp.h
@@ -20,8 +20,11 @@
 public:
     explicit cold_start_ramp(cold_start_ramp_options options) : options_(options) {}
 
-    /// Starts again from the cold limit.
+    /// Starts again from the cold limit, which holds until the server says that it is warm.
     void restart(millis now);
+    /// What the backend server says of itself.  While it is cold, completions earn nothing:
+    /// how many it needs is for it to know.
+    void told_cold(bool cold) { told_cold_ = cold; }
     /// Counts a request that the backend server completed well.
     void completed(millis now);
 
@@ -31,6 +34,7 @@
 private:
     cold_start_ramp_options options_;
     bool cold_ = false;
+    bool told_cold_ = false;
     unsigned limit_ = 0;
     unsigned completions_ = 0;
     millis last_step_{0};
--- a/Tests/Proofs/fleet_model.cpp
+++ b/Tests/Proofs/fleet_model.cpp
@@ -323,6 +323,7 @@
     runner.core->on_answer_head(id, 200, "text/plain", now_);
     runner.core->on_answer_data(id, "paid", now_);
     runner.core->on_run_end(id, end, now_);
+    runner.core->on_backend_state(true, false); // it is probed often
 }
 
 void fleet_model::tick()
