Follow a pool that empties in the estimate of its load

Cause: the error of the estimate took the loads of engines to drift independently. When a pool empties, all fall together: at the one start over the bound the reported mean was 9.40 and the true one 8.70, 4.8 times the error that was reckoned with.

Ruled out: too few reports (49 of 49 were there); the regression of load on the age of reports (its own error, about 0.4, is larger than what it should find).

The last changes of all peers' reports give the pool's decline, which is reckoned on to now. The test runs ten seeds instead of one.

With it the test of the ramp against an engine that warms up slowly.

--- a/Source/load_estimator.cpp
+++ b/Source/load_estimator.cpp
@@ -17,6 +17,8 @@
     if (!added && now > entry.at) {
         const double seconds = std::chrono::duration<double>(now - entry.at).count();
         const double change = double(in_flight) - double(entry.in_flight);
+        entry.change = change;
+        entry.change_seconds = seconds;
         entry.variance_per_second = change_decay * entry.variance_per_second +
                                     (1 - change_decay) * change * change / seconds;
     }
@@ -33,6 +35,9 @@
     double sum = 0;
     double squares = 0;
     double drift_variance = 0;
+    double ages = 0;
+    double changes = 0;
+    double change_seconds = 0;
     unsigned count = 0;
     for (const auto& [peer, entry] : reports_) {
         if (!entry.accepting || now - entry.at > options_.report_lifetime) {
@@ -44,6 +49,9 @@
         const double age = std::chrono::duration<double>(now - entry.at).count();
         // Starts and ends alternate, so that one engine's load drifts as a random walk.
         drift_variance += entry.variance_per_second * age;
+        ages += age;
+        changes += entry.change;
+        change_seconds += entry.change_seconds;
         ++count;
     }
     const double population = std::max<double>(pool_size_, count + 1);
@@ -54,7 +62,9 @@
         result.mean = own_in_flight / population;
         return result;
     }
-    const double peer_mean = sum / count;
+    // A pool that empties does so at all engines together, which no error of one shows.
+    const double decline = change_seconds > 0 ? std::min(0.0, changes / change_seconds) : 0.0;
+    const double peer_mean = std::max(0.0, sum / count + decline * ages / count);
     const double variance = std::max(peer_mean, squares / count - peer_mean * peer_mean);
     const double unseen = (peers - count) / peers;
     const double peer_error = std::sqrt(variance / count * unseen + drift_variance / count / count);
--- a/Source/load_estimator.h
+++ b/Source/load_estimator.h
@@ -53,6 +53,8 @@
         unsigned expected = 0; // `in_flight` and what hints have sent there since
         bool accepting = true;
         millis at{0};
+        double change = 0; // of the load, between the last two reports
+        double change_seconds = 0;
         double variance_per_second = first_variance_per_second; // decaying mean of change squared
     };
 
--- a/Tests/Decisions/limits_test.cpp
+++ b/Tests/Decisions/limits_test.cpp
@@ -26,12 +26,14 @@
     cold_start_ramp ramp(options);
     millis now = 1000ms;
     ramp.restart(now);
+    ramp.told_cold(false);
     millis begun = now;
     unsigned completed = 0;
     const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 60));
     for (const int step : steps) {
         if (step == 59) {
             ramp.restart(now);
+            ramp.told_cold(false);
             begun = now;
             completed = 0;
         }
@@ -50,6 +52,34 @@
     }
 }
 
+// An engine that warms up over completed requests, of any length, and is asked for its
+// health now and then.  The places that the ramp gives out are all taken all the time.
+RC_GTEST_PROP(cold_start_ramp, never_overloads_an_engine_that_warms_up_slowly, ())
+{
+    constexpr unsigned engine_bears = 4;
+    constexpr unsigned engine_needs = 20; // completed requests until it is warm
+    const auto length = millis(*rc::gen::inRange(5, 400));
+    const auto probe_interval = millis(*rc::gen::inRange(20, 600));
+    cold_start_ramp ramp({});
+    ramp.restart(0ms);
+    std::multiset<millis> ends;
+    unsigned completed = 0;
+    for (millis now = 1ms; completed < engine_needs; now += 1ms) {
+        while (!ends.empty() && *ends.begin() <= now) {
+            ends.erase(ends.begin());
+            ++completed;
+            ramp.completed(now);
+        }
+        if (now % probe_interval == 0ms) {
+            ramp.told_cold(completed < engine_needs);
+        }
+        while (ends.size() < ramp.limit()) {
+            ends.insert(now + length);
+        }
+        RC_ASSERT(completed >= engine_needs || ends.size() <= engine_bears);
+    }
+}
+
 namespace {
 
 struct pool_result {
@@ -63,9 +93,9 @@
 // the request wait.
 class pool_run {
 public:
-    pool_run(unsigned engines, double multiple, bool naive)
+    pool_run(unsigned engines, double multiple, bool naive, unsigned seed)
         : engines_(engines), naive_(naive), promise_(multiple), in_flight_(engines, 0),
-          random_(20261204)
+          random_(seed)
     {
         for (unsigned number = 0; number < engines; ++number) {
             estimators_.emplace_back(load_estimator_options{.promised_multiple = multiple});
@@ -190,15 +220,19 @@
 
 TEST_P(load_bound, is_kept_at_every_start)
 {
-    const pool_result with = pool_run(GetParam(), 1.25, false).run(20000);
-    const pool_result naive = pool_run(GetParam(), 1.25, true).run(20000);
-    std::printf("engines %u: starts %u, over the bound %u, refusals per start %.2f; "
-                "cap from the bare estimate: over the bound %u, refusals per start %.2f\n",
-                GetParam(), with.starts, with.violations,
-                static_cast<double>(with.refusals) / with.starts, naive.violations,
-                static_cast<double>(naive.refusals) / naive.starts);
-    EXPECT_EQ(with.violations, 0U);
-    EXPECT_GT(naive.violations, 0U);
+    constexpr unsigned first_seed = 20261204;
+    constexpr unsigned seeds = 10;
+    for (unsigned seed = first_seed; seed < first_seed + seeds; ++seed) {
+        const pool_result with = pool_run(GetParam(), 1.25, false, seed).run(20000);
+        const pool_result naive = pool_run(GetParam(), 1.25, true, seed).run(20000);
+        std::printf("engines %u seed %u: starts %u, over the bound %u, refusals per start %.2f; "
+                    "cap from the bare estimate: over the bound %u, refusals per start %.2f\n",
+                    GetParam(), seed, with.starts, with.violations,
+                    static_cast<double>(with.refusals) / with.starts, naive.violations,
+                    static_cast<double>(naive.refusals) / naive.starts);
+        EXPECT_EQ(with.violations, 0U) << "seed " << seed;
+        EXPECT_GT(naive.violations, 0U) << "seed " << seed;
+    }
 }
 
 INSTANTIATE_TEST_SUITE_P(pools, load_bound, ::testing::Values(12U, 50U));
