Copy shared parts of prompts from servers that keep them

An entry names to the chosen server another one that has read the longest run of shared parts which the chosen one lacks.

Tests: four in backend_choice_test and platform_test; they name what did not exist before.

--- a/Source/backend_chooser.cpp
+++ b/Source/backend_chooser.cpp
@@ -7,7 +7,7 @@
 std::vector<backend*> backend_chooser::order(const pool_state& pool, const backend_wish& wish,
                                              millis now) const
 {
-    if (!wish.prompt) {
+    if (!wish.prompt()) {
         std::vector<backend*> ordered = pool.servers;
         std::stable_sort(
             ordered.begin(), ordered.end(), [&](const backend* left, const backend* right) {
@@ -27,7 +27,7 @@
     std::vector<backend*> ordered;
     std::vector<bool> placed(pool.servers.size(), false);
     for (const std::uint32_t index :
-         rank_engines({.prefix = *wish.prompt}, candidates, 1, candidates.size())) {
+         rank_engines({.prefix = *wish.prompt()}, candidates, 1, candidates.size())) {
         ordered.push_back(pool.servers[index]);
         placed[index] = true;
     }
@@ -43,11 +43,47 @@
 
 bool backend_chooser::keeps(const backend& server, const backend_wish& wish, millis now)
 {
-    return wish.places != nullptr && wish.prompt &&
-           wish.places->holds(static_cast<std::uint32_t>(*wish.prompt),
+    return wish.places != nullptr && wish.prompt() &&
+           wish.places->holds(static_cast<std::uint32_t>(*wish.prompt()),
                               static_cast<std::uint32_t>(server.hash), now);
 }
 
+// The longest run of shared parts that another server has read and this one has not.  A
+// server that is leaving, or in a zone that was taken out, still has what it read.
+const backend* backend_chooser::source_of(const backend_table& table, const backend& server,
+                                          const backend_wish& wish, millis now)
+{
+    if (wish.places == nullptr) {
+        return nullptr;
+    }
+    for (auto part = wish.shared.rbegin(); part != wish.shared.rend(); ++part) {
+        const auto cut = static_cast<std::uint32_t>(*part);
+        if (wish.places->holds(cut, static_cast<std::uint32_t>(server.hash), now)) {
+            return nullptr;
+        }
+        const std::vector<std::uint32_t> keepers = wish.places->keepers(cut, now);
+        const backend* best = nullptr;
+        for (const auto& [id, other] : table.all()) {
+            const auto hash = static_cast<std::uint32_t>(other->hash);
+            if (other->entry.service != wish.service || other->missing ||
+                other->health.paused(now) ||
+                std::find(keepers.begin(), keepers.end(), hash) == keepers.end()) {
+                continue;
+            }
+            const auto cost = [&](const backend& from) {
+                return std::pair(from.entry.zone != server.entry.zone, from.load(now));
+            };
+            if (best == nullptr || cost(*other) < cost(*best)) {
+                best = other.get();
+            }
+        }
+        if (best != nullptr) {
+            return best;
+        }
+    }
+    return nullptr;
+}
+
 bool backend_chooser::admits_cold(backend& server, const relay_service& service, millis now) const
 {
     if (service.cold_starts_per_second <= 0 || !server.cold(now)) {
@@ -84,7 +120,7 @@
     }
     pool.mean = table.mean_load(service.name, now);
     choice.mean = pool.mean;
-    const double margin = wish.prompt_tokens >= options_.long_prompt_tokens
+    const double margin = wish.shared_tokens >= options_.long_prompt_tokens
                               ? options_.long_prompt_margin
                               : options_.load_margin;
     const double bound = options_.load_multiple * pool.mean + margin;
@@ -130,7 +166,10 @@
     if (choice.server != nullptr) {
         choice.server->health.tried(now);
     }
-    choice.kept = choice.server != nullptr && keeps(*choice.server, wish, now);
+    if (choice.server != nullptr) {
+        choice.kept = keeps(*choice.server, wish, now);
+        choice.source = source_of(table, *choice.server, wish, now);
+    }
     if (choice.server != nullptr && service.cold_starts_per_second > 0 &&
         choice.server->cold(now)) {
         choice.server->cold_starts.take(now);
--- a/Source/backend_chooser.h
+++ b/Source/backend_chooser.h
@@ -26,10 +26,16 @@
 /// What the choice of a backend server depends on.
 struct backend_wish {
     std::string service;
-    std::optional<std::uint64_t> prompt;          // hash of the part of the prompt to look for
-    unsigned prompt_tokens = 0;                   // of the parts that are shared
-    const prompt_places* places = nullptr;        // servers that keep it
+    std::vector<std::uint64_t> shared;            // hashes of the prompt's shared parts, in order
+    unsigned shared_tokens = 0;                   // of all of them
+    const prompt_places* places = nullptr;        // servers that keep them
     const std::set<std::string>* tried = nullptr; // ids that are not to be chosen again
+
+    /// The part by which the request is placed: the longest prompt that others share.
+    std::optional<std::uint64_t> prompt() const
+    {
+        return shared.empty() ? std::nullopt : std::optional(shared.back());
+    }
 };
 
 /// The server that was chosen, and what decided it.
@@ -38,6 +44,8 @@
     std::string_view reason = "none_listed";
     unsigned rank = 0; // place in the prompt's order
     bool kept = false; // it keeps the prompt's part
+    // A server that keeps more of the prompt's shared parts, from which it may copy them.
+    const backend* source = nullptr;
     unsigned load = 0;
     double mean = 0;   // over the pool
     unsigned pool = 0; // servers that may be given requests
@@ -67,6 +75,8 @@
 
     std::vector<backend*> order(const pool_state& pool, const backend_wish& wish, millis now) const;
     static bool keeps(const backend& server, const backend_wish& wish, millis now);
+    static const backend* source_of(const backend_table& table, const backend& server,
+                                    const backend_wish& wish, millis now);
     static bool suspected(const pool_state& pool, const backend& server, millis now);
     bool admits_cold(backend& server, const relay_service& service, millis now) const;
 
--- a/Source/prompt_places.cpp
+++ b/Source/prompt_places.cpp
@@ -15,7 +15,7 @@
         return row.server == server;
     });
     if (known == uses.end()) {
-        uses.push_back({.server = server, .at = now});
+        uses.push_back({.server = server, .since = now, .at = now});
         return true;
     }
     known->at = now;
@@ -33,6 +33,21 @@
     });
 }
 
+std::vector<std::uint32_t> prompt_places::keepers(std::uint32_t part, millis now) const
+{
+    std::vector<std::uint32_t> result;
+    const auto found = parts_.find(part);
+    if (found == parts_.end()) {
+        return result;
+    }
+    for (const use& row : found->second) {
+        if (now - row.at < options_.remembered && now - row.since >= options_.read_within) {
+            result.push_back(row.server);
+        }
+    }
+    return result;
+}
+
 void prompt_places::forget_server(std::uint32_t server)
 {
     for (auto& [part, uses] : parts_) {
--- a/Source/prompt_places.h
+++ b/Source/prompt_places.h
@@ -11,7 +11,10 @@
 namespace cyclamen {
 
 struct prompt_places_options {
-    millis remembered = 60000ms;   // after the last use
+    millis remembered = 60000ms; // after the last use
+    // From the first sending to a server until it has read the part: engines read some ten
+    // tokens in a microsecond, in turns with the tokens of other requests.
+    millis read_within = 700ms;
     std::size_t most_parts = 8192; // the rest go by the placement's order alone
 };
 
@@ -27,6 +30,8 @@
     /// Notes a use; true if the place was not known.
     bool note(place used, millis now);
     bool holds(std::uint32_t part, std::uint32_t server, millis now) const;
+    /// Servers that have read the part by now.
+    std::vector<std::uint32_t> keepers(std::uint32_t part, millis now) const;
     /// A server began anew, or has gone: it keeps nothing.
     void forget_server(std::uint32_t server);
     void sweep(millis now);
@@ -35,6 +40,7 @@
 private:
     struct use {
         std::uint32_t server = 0;
+        millis since{0};
         millis at{0};
     };
 
--- a/Source/relay_dialect.h
+++ b/Source/relay_dialect.h
@@ -35,6 +35,8 @@
     bool hide_key = true;
     std::optional<unsigned> priority; // 0 first
     std::string last_event_id;        // where a stream goes on; empty at its begin
+    // A server that keeps parts of the prompt which this one lacks.
+    std::optional<net_address> prompt_source;
 };
 
 /// What a backend server says beside an answer.
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -84,14 +84,27 @@
     return deadline_ - context_.core.now();
 }
 
-std::optional<std::uint64_t> relay_exchange::placement_part() const
+// The last part is the request's own; where it is the only one, others may yet share it.
+std::vector<std::uint64_t> relay_exchange::shared_parts() const
 {
-    if (!route_->prompt_affinity || facts_.prompt.empty()) {
-        return std::nullopt;
+    std::vector<std::uint64_t> parts;
+    if (!route_->prompt_affinity) {
+        return parts;
     }
-    // The last part is the request's own; the one before it is the longest that is shared.
-    const std::size_t shared = facts_.prompt.size() > 1 ? facts_.prompt.size() - 2 : 0;
-    return facts_.prompt[shared].hash;
+    for (const prompt_part& part : facts_.prompt) {
+        parts.push_back(part.hash);
+    }
+    if (parts.size() > 1) {
+        parts.pop_back();
+    }
+    return parts;
+}
+
+// 0 for a request without a prompt to place it by.
+std::uint64_t relay_exchange::placement_part() const
+{
+    const std::vector<std::uint64_t> parts = shared_parts();
+    return parts.empty() ? 0 : parts.back();
 }
 
 unsigned relay_exchange::shared_tokens() const
@@ -114,7 +127,8 @@
     if (total == 0) {
         return route_->services.empty() ? std::string() : route_->services.front().service;
     }
-    const std::uint64_t draw = placement_part().value_or(hash_of(facts_.id));
+    const std::uint64_t part = placement_part();
+    const std::uint64_t draw = part != 0 ? part : hash_of(facts_.id);
     auto point = static_cast<unsigned>(mix_hashes(draw, hash_of(route_->name)) % total);
     for (const weighted_service& part : route_->services) {
         if (point < part.weight) {
@@ -138,8 +152,8 @@
     }
     const backend_choice choice = context_.chooser.choose(context_.knowledge.backends(), *service,
                                                           {.service = service_,
-                                                           .prompt = placement_part(),
-                                                           .prompt_tokens = shared_tokens(),
+                                                           .shared = shared_parts(),
+                                                           .shared_tokens = shared_tokens(),
                                                            .places = &context_.knowledge.places(),
                                                            .tried = &tried_},
                                                           context_.core.now());
@@ -174,9 +188,9 @@
     tried_.insert(backend_id_);
     ++server.in_flight;
     sent_at_ = context_.core.now();
-    if (const auto part = placement_part()) {
+    for (const std::uint64_t part : shared_parts()) {
         context_.knowledge.placed(
-            {static_cast<std::uint32_t>(*part), static_cast<std::uint32_t>(server.hash)});
+            {static_cast<std::uint32_t>(part), static_cast<std::uint32_t>(server.hash)});
     }
     failure_.reset();
     mode_ = body_mode::discard;
@@ -188,6 +202,9 @@
                              .priority = route_->priority,
                              .last_event_id = events_.last_id().empty() ? facts_.last_event_id
                                                                         : events_.last_id()};
+    if (choice.source != nullptr) {
+        facts.prompt_source = choice.source->entry.address;
+    }
     if (account_ != nullptr && account_->priority) {
         facts.priority = account_->priority;
     }
@@ -199,15 +216,17 @@
     }
     const bool once = !attempts_->repeatable();
     connection_ = context_.connections.take(backend_id_, server.entry.address, once);
-    log_event(
-        event_id::backend_chosen,
-        "request={} route={} prompt={:x} backend={} zone={} reason={} rank={} kept={} load={} "
-        "mean={:.1f} pool={} "
-        "cold={} try={} left_ms={} version={} source_age_ms={} listed_age_ms={}",
-        facts_.id, route_->name, placement_part().value_or(0), backend_id_, server.entry.zone,
-        choice.reason, choice.rank, choice.kept, choice.load, choice.mean, choice.pool,
-        server.cold(sent_at_), tried_.size(), facts.time_left.count(), table_->version(),
-        context_.knowledge.age().count(), (sent_at_ - server.listed_at).count());
+    log_event(event_id::backend_chosen,
+              "request={} route={} prompt={:x} backend={} zone={} reason={} rank={} kept={} "
+              "copies_from={} load={} "
+              "mean={:.1f} pool={} "
+              "cold={} try={} left_ms={} version={} source_age_ms={} listed_age_ms={}",
+              facts_.id, route_->name, placement_part(), backend_id_, server.entry.zone,
+              choice.reason, choice.rank, choice.kept,
+              choice.source == nullptr ? "-" : choice.source->entry.id, choice.load, choice.mean,
+              choice.pool, server.cold(sent_at_), tried_.size(), facts.time_left.count(),
+              table_->version(), context_.knowledge.age().count(),
+              (sent_at_ - server.listed_at).count());
     connection_->call(request, body_,
                       {.on_head = [this](const http_head& head) { return answer_head(head); },
                        .on_body = [this](std::string_view data) { answer_body(data); },
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -88,7 +88,8 @@
 
     millis time_left() const;
     std::string service_for_attempt();
-    std::optional<std::uint64_t> placement_part() const;
+    std::vector<std::uint64_t> shared_parts() const;
+    std::uint64_t placement_part() const;
     unsigned shared_tokens() const;
 
     relay_context context_;
--- a/Tests/Decisions/backend_choice_test.cpp
+++ b/Tests/Decisions/backend_choice_test.cpp
@@ -41,10 +41,11 @@
 
     backend_choice choose(std::optional<std::uint64_t> prompt, unsigned tokens = 0, millis at = now)
     {
-        return chooser.choose(
-            table, service,
-            {.service = "engine", .prompt = prompt, .prompt_tokens = tokens, .places = &places},
-            at);
+        backend_wish wish{.service = "engine", .shared_tokens = tokens, .places = &places};
+        if (prompt) {
+            wish.shared.push_back(*prompt);
+        }
+        return chooser.choose(table, service, wish, at);
     }
 
     // Sends a request and notes where its prompt went, as an exchange does.
@@ -257,3 +258,62 @@
     health.ended(backend_outcome::good, now);
     EXPECT_FALSE(health.paused(now));
 }
+
+// release, scale_in: a server that leaves still has the prompts that it read.
+TEST(backend_choice, a_server_that_lacks_a_prompt_copies_it_from_one_that_leaves)
+{
+    pool engines(4);
+    const std::uint64_t prompt = hash_of("guide");
+    const std::string home = engines.send(prompt, 10000);
+    EXPECT_EQ(engines.choose(prompt).source, nullptr);
+    backend_entry leaving = engines.table.find(home)->entry;
+    leaving.draining = true;
+    ++leaving.sequence;
+    engines.table.put(leaving, now);
+    const backend_choice early = engines.choose(prompt, 10000, now + 100ms);
+    EXPECT_EQ(early.source, nullptr) << "it is still being read there";
+    const backend_choice later = engines.choose(prompt, 10000, now + 2000ms);
+    ASSERT_NE(later.source, nullptr);
+    EXPECT_EQ(later.source->entry.id, home);
+    EXPECT_NE(later.server->entry.id, home);
+}
+
+// srv_crash: what cannot be reached, or began anew, has nothing to copy.
+TEST(backend_choice, nothing_is_copied_from_a_server_that_is_down)
+{
+    pool engines(4);
+    const std::uint64_t prompt = hash_of("guide");
+    backend& home = *engines.table.find(engines.send(prompt, 10000));
+    const millis later = now + 2000ms;
+    engines.table.unreachable(home, later);
+    EXPECT_EQ(engines.choose(prompt, 10000, later).source, nullptr);
+    home.health.ended(backend_outcome::good, later);
+    home.in_flight = 20;
+    EXPECT_EQ(engines.choose(prompt, 10000, later).source, &home);
+    engines.places.forget_server(static_cast<std::uint32_t>(home.hash));
+    EXPECT_EQ(engines.choose(prompt, 10000, later).source, nullptr);
+}
+
+// Many subjects under one guide: the first chat on a subject reads only what is its own.
+TEST(backend_choice, an_outer_part_is_copied_where_the_inner_one_is_new)
+{
+    pool engines(4);
+    const std::uint64_t guide = hash_of("guide");
+    const std::string reader = engines.send(guide, 10000);
+    const auto choose = [&](const std::string& subject) {
+        return engines.chooser.choose(engines.table, engines.service,
+                                      {.service = "engine",
+                                       .shared = {guide, hash_of(subject)},
+                                       .shared_tokens = 10500,
+                                       .places = &engines.places},
+                                      now + 2000ms);
+    };
+    unsigned copies = 0;
+    for (unsigned subject = 0; subject < 40; ++subject) {
+        const backend_choice choice = choose(std::to_string(subject));
+        const bool elsewhere = choice.server->entry.id != reader;
+        EXPECT_EQ(choice.source != nullptr, elsewhere);
+        copies += choice.source != nullptr ? 1 : 0;
+    }
+    EXPECT_GE(copies, 20U);
+}
--- a/Tests/Platform/platform_test.cpp
+++ b/Tests/Platform/platform_test.cpp
@@ -143,3 +143,14 @@
     EXPECT_EQ(sent.header_or("Request-Priority", ""), "9");
     EXPECT_EQ(sent.header_or("Deadline-Ms", ""), "70");
 }
+
+TEST(platform_dialect, names_the_source_of_a_prompt_and_drops_what_a_caller_named)
+{
+    const relay_dialect dialect = make_dialect();
+    http_head request;
+    request.headers = {{"Prefix-Hash", "5c1e:800"}, {"Kv-Fetch", "10.9.9.9:1"}};
+    EXPECT_FALSE(dialect.write_request(request, {.time_left = 70ms}).header("Kv-Fetch"));
+    const http_head sent = dialect.write_request(
+        request, {.time_left = 70ms, .prompt_source = net_address{.host = "10.1.0.2", .port = 81}});
+    EXPECT_EQ(sent.header_or("Kv-Fetch", ""), "10.1.0.2:81");
+}
