Refuse requests that crash the servers that run them in the relay too

Cause: the relay sent a request that crashes its server as often as its caller came back; only agents counted such crashes.

crash_watch tells a crash from a lost answer: the server is found down, or begins anew, within eight seconds of the loss. It counts in the register that agents use, entries tell each other, a request that ends well is cleared, and three crashes within a minute refuse it.

Ruled out: two crashes, as for agents: other requests that a server held are lost with it and come back once. Counting requests without a body: many callers ask for the same page.

--- a/Source/crash_register.h
+++ b/Source/crash_register.h
@@ -36,6 +36,7 @@
     {
         return crashes(fingerprint, now) >= options_.crashes_allowed;
     }
+    void forget(std::uint64_t fingerprint) { entries_.erase(fingerprint); }
     std::size_t size() const { return entries_.size(); }
     /// One of the reports that are remembered; `choice` picks which.
     std::optional<wire::crash_report> report(std::uint64_t choice) const;
--- a/Source/peer_news.cpp
+++ b/Source/peer_news.cpp
@@ -52,6 +52,13 @@
             }
         }
     });
+    knowledge_->crash_counted.connect([this](const wire::crash_report& report) {
+        for (auto& [address, row] : peers_) {
+            wire::envelope message;
+            *message.mutable_crash_report() = report;
+            row.socket->send({}, std::move(message));
+        }
+    });
     learn(options_.seeds);
     tell_timer_ = core_.every(tell_step, [this] { tell(); });
     sweep_timer_ = core_.every(sweep_interval, [this] { sweep(); });
@@ -167,6 +174,9 @@
     case wire::envelope::kRecordBatch:
         take_batch(message.record_batch());
         return;
+    case wire::envelope::kCrashReport:
+        knowledge_->crashes().merge(message.crash_report(), core_.now());
+        return;
     default:
         log_event(event_id::malformed_message, "body={}", static_cast<int>(message.body_case()));
     }
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -58,6 +58,14 @@
     }
     const millis until = deadline_ + context_.options.answer_slack - context_.core.now();
     deadline_timer_ = context_.core.after(std::max(1ms, until), [this] { deadline_passed(); });
+    if (!body_.empty() && !context_.knowledge.crashes().quiet() &&
+        context_.knowledge.crashes().quarantined(fingerprint(), context_.core.now())) {
+        log_event(event_id::request_refused,
+                  "request={} status={} reason=quarantined fingerprint={:016x}", facts_.id,
+                  unavailable, fingerprint());
+        refuse(unavailable, "quarantined");
+        return;
+    }
     attempt();
 }
 
@@ -312,7 +320,7 @@
         failure = attempt_end::lost;
     }
     if (server != nullptr && failure == attempt_end::not_sent) {
-        context_.knowledge.backends().unreachable(*server, now);
+        context_.knowledge.backend_unreachable(*server);
     }
     else if (server != nullptr) {
         const bool bad = failure || status_ >= first_failure;
@@ -320,9 +328,15 @@
     }
     release_call(false);
     if (!failure) {
+        if (!body_.empty() && !context_.knowledge.crashes().quiet()) {
+            context_.knowledge.crashes().ended_well(fingerprint());
+        }
         finish_answer();
         return;
     }
+    if (failure == attempt_end::lost && !body_.empty()) {
+        context_.knowledge.crashes().lost(fingerprint(), backend_id_, now);
+    }
     log_event(event_id::attempt_failed, "request={} backend={} end={} after_ms={} head_passed={}",
               facts_.id, backend_id_, name_of(attempt_end_names, *failure),
               (now - sent_at_).count(), head_passed_);
@@ -350,6 +364,20 @@
     end("answered");
 }
 
+// Requests without a body name what many callers ask for; they are not told apart.
+std::uint64_t relay_exchange::fingerprint()
+{
+    if (!fingerprint_) {
+        const std::uint64_t account = hash_of(account_ == nullptr ? "" : account_->name);
+        const std::uint64_t target = mix_hashes(account, hash_of(caller_->request().target));
+        fingerprint_ = mix_hashes(target, hash_of(body_));
+        if (!facts_.prompt.empty()) {
+            fingerprint_ = mix_hashes(*fingerprint_, facts_.prompt.back().hash);
+        }
+    }
+    return *fingerprint_;
+}
+
 void relay_exchange::refuse(int status, const std::string& reason)
 {
     relay_refusal why{.status = status, .reason = reason};
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -78,6 +78,7 @@
     void call_ended(http_end end);
     void attempt_ended(attempt_end end);
     void finish_answer();
+    std::uint64_t fingerprint();
     void refuse(int status, const std::string& reason);
     millis retry_after() const;
     void give_up(const std::string& reason);
@@ -100,6 +101,7 @@
     const client_account* account_ = nullptr;
     request_facts facts_;
     std::string body_;
+    std::optional<std::uint64_t> fingerprint_;
     std::unique_ptr<direct_attempts> attempts_;
     std::set<std::string> tried_;
     millis began_{0};
--- a/Source/relay_knowledge.cpp
+++ b/Source/relay_knowledge.cpp
@@ -49,6 +49,7 @@
     const backend_table::news news = backends_.put(entry, core_.now());
     if (news == backend_table::news::new_incarnation) {
         places_.forget_server(static_cast<std::uint32_t>(hash_of(entry.id)));
+        backend_down(entry.id);
     }
     if (news != backend_table::news::older && changed) {
         log_event(event_id::backend_listed,
@@ -59,6 +60,23 @@
     }
 }
 
+void relay_knowledge::backend_unreachable(backend& server)
+{
+    backends_.unreachable(server, core_.now());
+    backend_down(server.entry.id);
+}
+
+void relay_knowledge::backend_down(const std::string& id)
+{
+    for (const wire::crash_report& report : crashes_.server_down(id, core_.now())) {
+        if (crashes_.quarantined(report.fingerprint(), core_.now())) {
+            log_event(event_id::request_quarantined, "fingerprint={:016x} backend={}",
+                      report.fingerprint(), id);
+        }
+        crash_counted.emit(report);
+    }
+}
+
 void relay_knowledge::drop_backend(const std::string& id)
 {
     if (backends_.find(id) == nullptr) {
--- a/Source/relay_knowledge.h
+++ b/Source/relay_knowledge.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backend_table.h"
+#include "crash_watch.h"
 #include "kernel.h"
 #include "prompt_places.h"
 #include "route_table.h"
@@ -28,7 +29,8 @@
 class relay_knowledge : public service {
 public:
     relay_knowledge(kernel& core, relay_knowledge_options options)
-        : core_(core), options_(options), backends_(options.backends), confirmed_at_(core.now())
+        : core_(core), options_(options), backends_(options.backends), crashes_(core.instance()),
+          confirmed_at_(core.now())
     {
     }
 
@@ -56,6 +58,11 @@
     void placed_by_peer(prompt_places::place place) { places_.note(place, core_.now()); }
     const prompt_places& places() const { return places_; }
 
+    /// A connection to the server did not come up.
+    void backend_unreachable(backend& server);
+    /// Requests that crash servers, as all entries have seen them.
+    crash_watch& crashes() { return crashes_; }
+
     /// The configuration in force; none before the first was read.
     std::shared_ptr<const route_table> routes() const { return routes_; }
     backend_table& backends() { return backends_; }
@@ -68,10 +75,13 @@
     sigc::signal<void()> configured;
     /// Raised when this entry has sent a prompt where it was not known to be.
     sigc::signal<void(prompt_places::place)> newly_placed;
+    /// Raised when a request was counted with the crash of a server.
+    sigc::signal<void(const wire::crash_report&)> crash_counted;
     /// The source of a peer answers; set by what knows peers.
     std::function<bool()> others_confirm;
 
 private:
+    void backend_down(const std::string& id);
     void lose_source(const std::string& why);
     void regain_source();
 
@@ -80,6 +90,7 @@
     std::shared_ptr<const route_table> routes_;
     backend_table backends_;
     prompt_places places_;
+    crash_watch crashes_;
     bool complete_ = false;
     bool lost_ = false;
     millis confirmed_at_{0};
--- /dev/null
+++ b/Tests/Decisions/crash_watch_test.cpp
@@ -0,0 +1,76 @@
+// Requests that crash the backend servers that run them, beside others that are lost with
+// the same servers by chance.
+
+#include "crash_watch.h"
+
+#include <gtest/gtest.h>
+
+using namespace cyclamen;
+
+namespace {
+
+constexpr std::uint64_t poison = 7;
+constexpr std::uint64_t chance = 8;
+
+// Entries that tell each other of crashes at once.
+struct entries {
+    void crash(std::size_t entry, std::uint64_t fingerprint, const std::string& server, millis now)
+    {
+        all[entry].lost(fingerprint, server, now);
+        for (const wire::crash_report& report : all[entry].server_down(server, now + 100ms)) {
+            for (crash_watch& other : all) {
+                other.merge(report, now + 100ms);
+            }
+        }
+    }
+
+    std::vector<crash_watch> all{crash_watch("a"), crash_watch("b"), crash_watch("c")};
+};
+
+} // namespace
+
+TEST(crash_watch, a_request_that_crashed_three_servers_is_refused_by_every_entry)
+{
+    entries fleet;
+    fleet.crash(0, poison, "s1", 1000ms);
+    fleet.crash(1, poison, "s2", 2000ms);
+    for (const crash_watch& entry : fleet.all) {
+        EXPECT_FALSE(entry.quarantined(poison, 2500ms));
+    }
+    fleet.crash(2, poison, "s3", 3000ms);
+    for (const crash_watch& entry : fleet.all) {
+        EXPECT_TRUE(entry.quarantined(poison, 3500ms));
+    }
+    EXPECT_FALSE(fleet.all[0].quarantined(poison, 3100ms + 61000ms));
+}
+
+// answer_lost, reset_conns: the answer is lost and the server lives.
+TEST(crash_watch, lost_answers_of_servers_that_live_tell_nothing)
+{
+    crash_watch watch("a");
+    for (int count = 0; count < 10; ++count) {
+        watch.lost(chance, "s1", 1000ms);
+    }
+    EXPECT_TRUE(watch.server_down("s2", 1100ms).empty());
+    EXPECT_TRUE(watch.quiet());
+    EXPECT_TRUE(watch.server_down("s1", 20000ms).empty()) << "too late to have to do with it";
+}
+
+// srv_crash, cold_return: requests are lost with their servers, are sent again and answered.
+TEST(crash_watch, a_request_that_ends_well_was_lost_by_chance)
+{
+    entries fleet;
+    fleet.crash(0, chance, "s1", 1000ms);
+    fleet.crash(0, chance, "s2", 2000ms);
+    fleet.all[0].ended_well(chance);
+    fleet.crash(0, chance, "s3", 3000ms);
+    EXPECT_FALSE(fleet.all[0].quarantined(chance, 3500ms));
+}
+
+TEST(crash_watch, one_crash_counts_once_however_often_it_shows)
+{
+    crash_watch watch("a");
+    watch.lost(poison, "s1", 1000ms);
+    EXPECT_EQ(watch.server_down("s1", 1100ms).size(), 1U);
+    EXPECT_TRUE(watch.server_down("s1", 1200ms).empty());
+}
--- a/Tests/Relay/relay_repeats_test.cpp
+++ b/Tests/Relay/relay_repeats_test.cpp
@@ -253,3 +253,29 @@
     EXPECT_EQ(arrivals(), 0U);
     EXPECT_EQ(away.requests(), 1U);
 }
+
+// A request that crashes each server that runs it, sent again and again by its caller.
+TEST_F(relay_repeats, a_request_that_crashed_three_servers_is_not_sent_any_more)
+{
+    constexpr std::size_t crashes = 3;
+    for (std::size_t count = 1; count <= crashes; ++count) {
+        scripted_caller& caller = fleet.add_caller();
+        caller.send(post("/pay/", "poison"));
+        expect_arrivals(count);
+        std::size_t index = 0;
+        scripted_backend& shop = latest(index);
+        shop.reset(index);
+        expect_status(caller, 502);
+        const std::string id = &shop == shops[0] ? "s1" : "s2";
+        backend_entry again = fleet.knowledge().backends().find(id)->entry;
+        ++again.started_at;
+        fleet.knowledge().take_backend(again);
+    }
+    scripted_caller& caller = fleet.add_caller();
+    caller.send(post("/pay/", "poison"));
+    expect_status(caller, 503);
+    EXPECT_EQ(arrivals(), crashes);
+    scripted_caller& other = fleet.add_caller();
+    other.send(post("/pay/", "sound"));
+    expect_arrivals(crashes + 1);
+}
