Bound the cost of a choice and of a peer's digest in large pools

Cause: with 300 entries and 3,000 servers a digest of a peer was added up anew over all entries for all servers: 10 ms, twenty times a second. A choice looked every server up in the places of prompts, worked out four exponentials for each, and walked all services.

Ruled out: fewer digests (they are 15 s apart already at that size).

Sums over entries are kept and changed by difference, servers are grouped by service and found by hash, the health of a pool is one counter, and places are looked up once.

The tests of the decisions are unchanged but for who is told how a request ended.

--- a/Source/backend_chooser.cpp
+++ b/Source/backend_chooser.cpp
@@ -8,15 +8,20 @@
                                              millis now) const
 {
     if (!wish.prompt()) {
-        std::vector<backend*> ordered = pool.servers;
-        std::stable_sort(
-            ordered.begin(), ordered.end(), [&](const backend* left, const backend* right) {
-                const auto cost = [&](const backend* server) {
-                    return server->load(now) +
-                           (server->entry.zone == options_.zone ? 0 : options_.local_lead);
-                };
-                return cost(left) < cost(right);
-            });
+        std::vector<std::pair<unsigned, backend*>> costs;
+        costs.reserve(pool.servers.size());
+        for (backend* server : pool.servers) {
+            const unsigned lead = server->entry.zone == options_.zone ? 0 : options_.local_lead;
+            costs.emplace_back(server->load(now) + lead, server);
+        }
+        std::stable_sort(costs.begin(), costs.end(), [](const auto& left, const auto& right) {
+            return left.first < right.first;
+        });
+        std::vector<backend*> ordered;
+        ordered.reserve(costs.size());
+        for (const auto& [cost, server] : costs) {
+            ordered.push_back(server);
+        }
         return ordered;
     }
     std::vector<placement_candidate> candidates;
@@ -36,8 +41,14 @@
             ordered.push_back(pool.servers[index]);
         }
     }
-    std::stable_partition(ordered.begin(), ordered.end(),
-                          [&](const backend* server) { return keeps(*server, wish, now); });
+    if (wish.places != nullptr) {
+        const std::vector<std::uint32_t> holders =
+            wish.places->holders(static_cast<std::uint32_t>(*wish.prompt()), now);
+        std::stable_partition(ordered.begin(), ordered.end(), [&](const backend* server) {
+            return std::find(holders.begin(), holders.end(),
+                             static_cast<std::uint32_t>(server->hash)) != holders.end();
+        });
+    }
     return ordered;
 }
 
@@ -61,20 +72,18 @@
         if (wish.places->holds(cut, static_cast<std::uint32_t>(server.hash), now)) {
             return nullptr;
         }
-        const std::vector<std::uint32_t> keepers = wish.places->keepers(cut, now);
         const backend* best = nullptr;
-        for (const auto& [id, other] : table.all()) {
-            const auto hash = static_cast<std::uint32_t>(other->hash);
-            if (other->entry.service != wish.service || other->missing ||
-                other->health.paused(now) ||
-                std::find(keepers.begin(), keepers.end(), hash) == keepers.end()) {
+        for (const std::uint32_t keeper : wish.places->keepers(cut, now)) {
+            const backend* other = table.find_by_hash(keeper);
+            if (other == nullptr || other->entry.service != wish.service || other->missing ||
+                other->health.paused(now)) {
                 continue;
             }
             const auto cost = [&](const backend& from) {
                 return std::pair(from.entry.zone != server.entry.zone, from.load(now));
             };
             if (best == nullptr || cost(*other) < cost(*best)) {
-                best = other.get();
+                best = other;
             }
         }
         if (best != nullptr) {
@@ -101,7 +110,8 @@
     const double bad = server.health.bad(now);
     const double ends = pool.ends - bad - server.health.good(now);
     constexpr double least_ends = 1; // fewer tell nothing of the others
-    return server.health.suspected(ends < least_ends ? 0 : (pool.bad - bad) / ends, now);
+    const double others = ends < least_ends ? 0 : std::max(0.0, pool.bad - bad) / ends;
+    return server.health.suspected(others, now);
 }
 
 backend_choice backend_chooser::choose(backend_table& table, const relay_service& service,
@@ -114,10 +124,9 @@
     if (pool.servers.empty()) {
         return choice;
     }
-    for (const backend* server : pool.servers) {
-        pool.bad += server->health.bad(now);
-        pool.ends += server->health.bad(now) + server->health.good(now);
-    }
+    const backend_health& ends = table.ends_of(service.name);
+    pool.bad = ends.bad(now);
+    pool.ends = pool.bad + ends.good(now);
     pool.mean = table.mean_load(service.name, now);
     choice.mean = pool.mean;
     const double margin = wish.shared_tokens >= options_.long_prompt_tokens
--- a/Source/backend_table.cpp
+++ b/Source/backend_table.cpp
@@ -35,10 +35,15 @@
         const unsigned in_flight = place == nullptr ? 0 : place->in_flight;
         place = std::make_unique<backend>();
         place->hash = hash_of(entry.id);
-        recount(*place);
+        const auto told = elsewhere_sum_.find(static_cast<std::uint32_t>(place->hash));
+        place->elsewhere = told == elsewhere_sum_.end() ? 0 : told->second;
         place->in_flight = in_flight; // they end by themselves
     }
+    const bool moved = fresh || place->entry.service != entry.service;
     place->entry = entry;
+    if (moved) {
+        regroup();
+    }
     place->listed_at = now;
     place->missing = false;
     if (entry.cold_for > 0ms) {
@@ -58,6 +63,7 @@
         return;
     }
     servers_.erase(found);
+    regroup();
 }
 
 void backend_table::source_regained(millis now)
@@ -73,7 +79,28 @@
     if (source_away_ || now < grace_until_) {
         return;
     }
-    std::erase_if(servers_, [](const auto& row) { return row.second->missing; });
+    if (std::erase_if(servers_, [](const auto& row) { return row.second->missing; }) > 0) {
+        regroup();
+    }
+}
+
+// Servers come and go far more rarely than requests look for one.
+void backend_table::regroup()
+{
+    by_hash_.clear();
+    for (auto& [service, group] : pools_) {
+        group.servers.clear();
+    }
+    for (const auto& [id, server] : servers_) {
+        by_hash_[static_cast<std::uint32_t>(server->hash)] = server.get();
+        pools_[server->entry.service].servers.push_back(server.get());
+    }
+}
+
+const backend* backend_table::find_by_hash(std::uint32_t hash) const
+{
+    const auto found = by_hash_.find(hash);
+    return found == by_hash_.end() ? nullptr : found->second;
 }
 
 backend* backend_table::find(const std::string& id)
@@ -82,38 +109,46 @@
     return found == servers_.end() ? nullptr : found->second.get();
 }
 
-std::vector<backend*> backend_table::usable(const std::string& service)
+std::vector<backend*> backend_table::usable(const std::string& service) const
 {
     std::vector<backend*> result;
-    for (const auto& [id, server] : servers_) {
-        if (server->entry.service != service || server->entry.draining ||
-            zones_out_.contains(server->entry.zone)) {
+    const auto found = pools_.find(service);
+    if (found == pools_.end()) {
+        return result;
+    }
+    for (backend* server : found->second.servers) {
+        if (server->entry.draining ||
+            (!zones_out_.empty() && zones_out_.contains(server->entry.zone))) {
             continue;
         }
-        result.push_back(server.get());
+        result.push_back(server);
     }
     return result;
 }
 
 double backend_table::mean_load(const std::string& service, millis now) const
 {
+    const auto found = pools_.find(service);
+    if (found == pools_.end() || found->second.servers.empty()) {
+        return 0;
+    }
     double load = 0;
-    unsigned count = 0;
-    for (const auto& [id, server] : servers_) {
-        if (server->entry.service == service) {
-            load += server->load(now);
-            ++count;
-        }
+    for (const backend* server : found->second.servers) {
+        load += server->load(now);
     }
-    return count == 0 ? 0 : load / count;
+    return load / static_cast<double>(found->second.servers.size());
 }
 
-void backend_table::recount(backend& server) const
+void backend_table::count_elsewhere(std::uint32_t hash, unsigned taken, unsigned given)
 {
-    server.elsewhere = 0;
-    for (const auto& [entry, counts] : elsewhere_) {
-        const auto found = counts.find(static_cast<std::uint32_t>(server.hash));
-        server.elsewhere += found == counts.end() ? 0 : found->second;
+    unsigned& sum = elsewhere_sum_[hash];
+    sum = sum - taken + given;
+    const auto server = by_hash_.find(hash);
+    if (server != by_hash_.end()) {
+        server->second->elsewhere = sum;
+    }
+    if (sum == 0) {
+        elsewhere_sum_.erase(hash);
     }
 }
 
@@ -124,10 +159,13 @@
     if (known.empty() && counts.empty()) {
         return false;
     }
-    known = std::move(counts);
-    for (const auto& [id, server] : servers_) {
-        recount(*server);
+    for (const auto& [hash, count] : known) {
+        count_elsewhere(hash, count, 0);
+    }
+    for (const auto& [hash, count] : counts) {
+        count_elsewhere(hash, 0, count);
     }
+    known = std::move(counts);
     return true;
 }
 
@@ -137,6 +175,12 @@
     server.cold_until = std::max(server.cold_until, now + options_.suspicion);
 }
 
+void backend_table::ended(backend& server, backend_outcome outcome, millis now)
+{
+    server.health.ended(outcome, now);
+    pools_[server.entry.service].ends.ended(outcome, now);
+}
+
 void backend_table::note_load(backend& server, const backend_load& load, millis now)
 {
     server.reported = load;
--- a/Source/backend_table.h
+++ b/Source/backend_table.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace cyclamen {
@@ -71,12 +72,18 @@
     void sweep(millis now);
 
     backend* find(const std::string& id);
+    /// The server whose id's hash has this low half, as other entries name it.
+    const backend* find_by_hash(std::uint32_t hash) const;
     /// The servers of `service` that may be given requests, in order of id.
-    std::vector<backend*> usable(const std::string& service);
+    std::vector<backend*> usable(const std::string& service) const;
     /// Mean load over all servers of `service`, those included that are given nothing: they
     /// are part of the pool until they have gone.
     double mean_load(const std::string& service, millis now) const;
     void unreachable(backend& server, millis now);
+    /// A request ended at the server.
+    void ended(backend& server, backend_outcome outcome, millis now);
+    /// Ends at all servers of `service` together.
+    const backend_health& ends_of(const std::string& service) { return pools_[service].ends; }
     void note_load(backend& server, const backend_load& load, millis now);
     /// What another entry holds at servers, by the low half of the hash of their ids;
     /// replaces what it told before.  False if nothing is held, before and after.
@@ -85,11 +92,21 @@
     const std::map<std::string, std::unique_ptr<backend>>& all() const { return servers_; }
 
 private:
-    void recount(backend& server) const;
+    /// The servers of one service, in order of id.
+    struct pool {
+        std::vector<backend*> servers;
+        backend_health ends;
+    };
+
+    void regroup();
+    void count_elsewhere(std::uint32_t hash, unsigned taken, unsigned given);
 
     backend_table_options options_;
-    std::map<std::string, std::unique_ptr<backend>> servers_;            // by id
+    std::map<std::string, std::unique_ptr<backend>> servers_; // by id
+    std::unordered_map<std::uint32_t, backend*> by_hash_;
+    std::unordered_map<std::string, pool> pools_;                        // by service
     std::map<std::string, std::map<std::uint32_t, unsigned>> elsewhere_; // by entry
+    std::unordered_map<std::uint32_t, unsigned> elsewhere_sum_;
     std::set<std::string> zones_out_;
     bool source_away_ = false;
     millis grace_until_{0};
--- a/Source/prompt_places.cpp
+++ b/Source/prompt_places.cpp
@@ -33,7 +33,8 @@
     });
 }
 
-std::vector<std::uint32_t> prompt_places::keepers(std::uint32_t part, millis now) const
+std::vector<std::uint32_t> prompt_places::sent_before(std::uint32_t part, millis latest,
+                                                      millis now) const
 {
     std::vector<std::uint32_t> result;
     const auto found = parts_.find(part);
@@ -41,13 +42,23 @@
         return result;
     }
     for (const use& row : found->second) {
-        if (now - row.at < options_.remembered && now - row.since >= options_.read_within) {
+        if (now - row.at < options_.remembered && row.since <= latest) {
             result.push_back(row.server);
         }
     }
     return result;
 }
 
+std::vector<std::uint32_t> prompt_places::holders(std::uint32_t part, millis now) const
+{
+    return sent_before(part, now, now);
+}
+
+std::vector<std::uint32_t> prompt_places::keepers(std::uint32_t part, millis now) const
+{
+    return sent_before(part, now - options_.read_within, now);
+}
+
 void prompt_places::forget_server(std::uint32_t server)
 {
     for (auto& [part, uses] : parts_) {
--- a/Source/prompt_places.h
+++ b/Source/prompt_places.h
@@ -30,7 +30,9 @@
     /// Notes a use; true if the place was not known.
     bool note(place used, millis now);
     bool holds(std::uint32_t part, std::uint32_t server, millis now) const;
-    /// Servers that have read the part by now.
+    /// Servers that the part was sent to.
+    std::vector<std::uint32_t> holders(std::uint32_t part, millis now) const;
+    /// Those that have read it by now.
     std::vector<std::uint32_t> keepers(std::uint32_t part, millis now) const;
     /// A server began anew, or has gone: it keeps nothing.
     void forget_server(std::uint32_t server);
@@ -44,6 +46,8 @@
         millis at{0};
     };
 
+    std::vector<std::uint32_t> sent_before(std::uint32_t part, millis latest, millis now) const;
+
     prompt_places_options options_;
     std::unordered_map<std::uint32_t, std::vector<use>> parts_;
 };
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -324,7 +324,8 @@
     }
     else if (server != nullptr) {
         const bool bad = failure || status_ >= first_failure;
-        server->health.ended(bad ? backend_outcome::bad : backend_outcome::good, now);
+        context_.knowledge.backends().ended(
+            *server, bad ? backend_outcome::bad : backend_outcome::good, now);
     }
     release_call(false);
     if (!failure) {
--- a/Tests/Decisions/backend_choice_test.cpp
+++ b/Tests/Decisions/backend_choice_test.cpp
@@ -206,8 +206,8 @@
     for (unsigned request = 0; request < 30; ++request) {
         for (unsigned index = 0; index < 3; ++index) {
             const bool bad = index == 0 ? request % 2 == 0 : request % 10 == 0;
-            shops.table.find(pool::name(index))
-                ->health.ended(bad ? backend_outcome::bad : backend_outcome::good, now);
+            shops.table.ended(*shops.table.find(pool::name(index)),
+                              bad ? backend_outcome::bad : backend_outcome::good, now);
         }
     }
     EXPECT_NE(shops.choose(std::nullopt).server->entry.id, "e0");
@@ -220,7 +220,7 @@
     pool shops(3);
     for (unsigned index = 0; index < 3; ++index) {
         for (unsigned request = 0; request < 20; ++request) {
-            shops.table.find(pool::name(index))->health.ended(backend_outcome::bad, now);
+            shops.table.ended(*shops.table.find(pool::name(index)), backend_outcome::bad, now);
         }
     }
     EXPECT_NE(shops.choose(std::nullopt).server, nullptr);
--- a/Tests/Measures/decision_benchmark.cpp
+++ b/Tests/Measures/decision_benchmark.cpp
@@ -1,5 +1,7 @@
+#include "backend_chooser.h"
 #include "claim_ledger.h"
 #include "configuration_state.h"
+#include "hashing.h"
 #include "load_estimator.h"
 #include "placement.h"
 
@@ -38,6 +40,58 @@
 }
 BENCHMARK(rank_in_a_pool)->Arg(12)->Arg(333)->Arg(1333)->Arg(12000);
 
+// Engines of one service; every tenth has a request of another entry.
+backend_table engines_of(std::int64_t count)
+{
+    backend_table table;
+    for (std::int64_t index = 0; index < count; ++index) {
+        table.put({.id = "i-" + std::to_string(index),
+                   .service = "engine",
+                   .zone = index % 3 == 0 ? "a" : "b",
+                   .slots = 64,
+                   .started_at = 1},
+                  1000ms);
+    }
+    return table;
+}
+
+void choose_a_backend(benchmark::State& state)
+{
+    backend_table table = engines_of(state.range(0));
+    const relay_service service{.name = "engine"};
+    const prompt_places places;
+    backend_chooser chooser({.zone = "a"});
+    std::uint64_t prompt = 0;
+    for (auto _ : state) {
+        ++prompt;
+        backend_wish wish{.service = "engine", .places = &places};
+        if (state.range(1) != 0) {
+            wish.shared = {prompt};
+        }
+        benchmark::DoNotOptimize(chooser.choose(table, service, wish, 2000ms));
+    }
+}
+BENCHMARK(choose_a_backend)->ArgsProduct({{50, 300, 3000}, {0, 1}});
+
+void take_counts_of_a_peer(benchmark::State& state)
+{
+    backend_table table = engines_of(state.range(0));
+    std::mt19937_64 random(1);
+    constexpr unsigned peers = 300;
+    constexpr unsigned rows = 40;
+    std::uint64_t turn = 0;
+    for (auto _ : state) {
+        std::map<std::uint32_t, unsigned> counts;
+        for (unsigned row = 0; row < rows; ++row) {
+            const std::string id =
+                "i-" + std::to_string(random() % static_cast<std::uint64_t>(state.range(0)));
+            counts[static_cast<std::uint32_t>(hash_of(id))] = 1;
+        }
+        table.set_elsewhere(std::to_string(++turn % peers), std::move(counts));
+    }
+}
+BENCHMARK(take_counts_of_a_peer)->Arg(50)->Arg(300)->Arg(3000);
+
 void cap_of_an_engine(benchmark::State& state)
 {
     load_estimator estimator({});
