Serve from the first page of a long list, and tell crowded servers on

Cause: after all of 300 entries were killed each listed 3,000 servers, 0.75 MB; the store's reads are shared, so that the last waited over three seconds, and meanwhile each asked its peers for the same list, over links of 10 Mbit/s. And at 300 entries each hears from a peer every 15 s, so that nobody sees a crowded home of a popular prompt.

A page of a listing is in force at once; an entry without a listing asks a peer only when its own source has not answered for a second; beyond ten peers digests pass on what crowded servers said of their load within the last second.

--- a/Source/backend_table.cpp
+++ b/Source/backend_table.cpp
@@ -13,6 +13,9 @@
         const unsigned held = reported.running + reported.waiting;
         others = std::max(others, held > own_when_reported ? held - own_when_reported : 0);
     }
+    if (now - heard_at < load_report_lifetime) {
+        others = std::max(others, heard_held);
+    }
     return in_flight + others;
 }
 
@@ -169,6 +172,39 @@
     return true;
 }
 
+std::vector<backend_table::busy_report> backend_table::busy_to_tell(millis now) const
+{
+    // Where a choice leaves a server for the next; what is below need not be told.
+    constexpr double busy_multiple = 1.5;
+    constexpr double busy_margin = 1.5;
+    std::vector<busy_report> result;
+    for (const auto& [service, group] : pools_) {
+        const double bound = busy_multiple * mean_load(service, now) + busy_margin;
+        for (const backend* server : group.servers) {
+            const bool own = server->reported_at >= server->heard_at;
+            const millis at = own ? server->reported_at : server->heard_at;
+            const unsigned held =
+                own ? server->reported.running + server->reported.waiting : server->heard_held;
+            if (now - at < load_report_lifetime && held > bound) {
+                result.push_back(
+                    {.server = static_cast<std::uint32_t>(server->hash), .held = held, .at = at});
+            }
+        }
+    }
+    return result;
+}
+
+void backend_table::hear_busy(const busy_report& report, millis now)
+{
+    const auto found = by_hash_.find(report.server);
+    if (found == by_hash_.end() || report.at > now ||
+        report.at <= std::max(found->second->heard_at, found->second->reported_at)) {
+        return;
+    }
+    found->second->heard_held = report.held;
+    found->second->heard_at = report.at;
+}
+
 backend_table::ends_by_server backend_table::ends_to_tell(millis now) const
 {
     constexpr double least_bad = 0.2; // what is left of one after seven seconds
--- a/Source/backend_table.h
+++ b/Source/backend_table.h
@@ -30,9 +30,11 @@
     std::uint64_t hash = 0; // of its id, for placement
     millis listed_at{0};    // when its entry was last read
     millis cold_until{0};
-    bool missing = false;   // its entry lapsed while the source was away
-    unsigned in_flight = 0; // requests of this entry
-    unsigned elsewhere = 0; // requests of other entries, as they last told
+    bool missing = false;    // its entry lapsed while the source was away
+    unsigned in_flight = 0;  // requests of this entry
+    unsigned elsewhere = 0;  // requests of other entries, as they last told
+    unsigned heard_held = 0; // requests that it held, as another entry heard from it
+    millis heard_at{-1000000};
     backend_load reported;
     unsigned own_when_reported = 0; // requests of this entry then
     millis reported_at{-1000000};   // long ago: nothing was reported yet
@@ -89,6 +91,18 @@
     /// replaces what it told before.  False if nothing is held, before and after.
     bool set_elsewhere(const std::string& entry, std::map<std::uint32_t, unsigned> counts);
 
+    /// What a server said of its load, to this entry or to another one.
+    struct busy_report {
+        std::uint32_t server = 0; // low half of the hash of its id
+        unsigned held = 0;
+        millis at{0};
+    };
+
+    /// Servers that lately said that they hold far more than the mean of their service.
+    std::vector<busy_report> busy_to_tell(millis now) const;
+    /// Takes such a report; an older one than is known is left out.
+    void hear_busy(const busy_report& report, millis now);
+
     /// Good and bad ends at one server.
     struct end_counts {
         double good = 0;
--- a/Source/log_follower.cpp
+++ b/Source/log_follower.cpp
@@ -39,8 +39,13 @@
     hooks_.on_answered();
     // Pages are not a snapshot: what changes meanwhile is read after the first page's end.
     listing_end_ = listing_end_.value_or(page.log_end);
+    // A page serves at once; what it does not name is known to be dropped with the last.
+    for (const mirrored_record& record : page.records) {
+        mirror_.take(record);
+    }
     listed_.insert(listed_.end(), std::make_move_iterator(page.records.begin()),
                    std::make_move_iterator(page.records.end()));
+    hooks_.on_taken();
     after_ = page.more_after;
     if (after_) {
         list_next();
--- a/Source/peer_news.cpp
+++ b/Source/peer_news.cpp
@@ -16,7 +16,8 @@
 constexpr int dead_after_ms = 2000;
 // In one digest; what is left out costs a prompt read again at most.
 constexpr std::size_t most_places = 256;
-constexpr double tenths = 10; // counts of ends travel as whole numbers
+constexpr double tenths = 10;          // counts of ends travel as whole numbers
+constexpr std::size_t most_busy = 128; // in one digest; the next tells of others
 constexpr millis tell_step = 50ms;
 constexpr millis sweep_interval = 500ms;
 
@@ -137,6 +138,19 @@
         row.set_bad_tenths(static_cast<std::uint32_t>(ends.bad * tenths));
         row.set_good_tenths(static_cast<std::uint32_t>(ends.good * tenths));
     }
+    // With few entries their own counts say the same, and sooner.
+    if (peers_.size() > 2 * options_.interval_peers) {
+        for (const backend_table::busy_report& report :
+             knowledge_->backends().busy_to_tell(core_.now())) {
+            if (static_cast<std::size_t>(body.busy_size()) >= most_busy) {
+                break;
+            }
+            wire::backend_busy& row = *body.add_busy();
+            row.set_backend(report.server);
+            row.set_held(report.held);
+            row.set_age_ms(static_cast<std::uint32_t>((core_.now() - report.at).count()));
+        }
+    }
     if (with_peers) {
         const millis now = core_.now();
         for (const auto& [address, row] : peers_) {
@@ -224,6 +238,11 @@
         counts[row.backend()] = row.count();
     }
     knowledge_->backends().set_elsewhere(address, std::move(counts));
+    for (const wire::backend_busy& row : digest.busy()) {
+        knowledge_->backends().hear_busy(
+            {.server = row.backend(), .held = row.held(), .at = core_.now() - millis(row.age_ms())},
+            core_.now());
+    }
     backend_table::ends_by_server ends;
     for (const wire::backend_ends& row : digest.ends()) {
         ends[row.backend()] = {.good = row.good_tenths() / tenths,
@@ -251,9 +270,13 @@
             continue;
         }
         std::optional<millis>& since = behind_since_[log];
-        const bool first = !since && !reads_for_itself();
+        const bool listed = mirrors_[log]->position().has_value();
+        if (!listed && source_answers && source_answers()) {
+            continue;
+        }
+        const bool first = !since && listed && !reads_for_itself();
         since = since.value_or(now);
-        if (!first && now - *since < options_.patience) {
+        if (!first && now - *since < (listed ? options_.patience : options_.listing_patience)) {
             continue;
         }
         since = now;
--- a/Source/peer_news.h
+++ b/Source/peer_news.h
@@ -35,6 +35,9 @@
     unsigned readers = 3;
     // A reader asks a peer that is ahead only then: the log itself mostly answers sooner.
     millis patience = 300ms;
+    // A whole listing is long; an entry that is without asks for one only while its own
+    // source has not answered for so long.
+    millis listing_patience = 1000ms;
 };
 
 /// Exchanges with the other entries what each of them alone sees a part of: how far the
--- a/Tests/Decisions/backend_table_test.cpp
+++ b/Tests/Decisions/backend_table_test.cpp
@@ -96,3 +96,41 @@
     table.unreachable(*table.find("e1"), now);
     EXPECT_TRUE(table.find("e1")->cold(now + 1000ms));
 }
+
+// hot_key at many entries: one hears from a server what the others need to know.
+TEST(backend_table, a_crowded_server_is_told_of_and_passed_on_while_the_report_is_new)
+{
+    backend_table hearer;
+    backend_table first;
+    backend_table second;
+    for (backend_table* table : {&hearer, &first, &second}) {
+        for (const char* id : {"e1", "e2", "e3"}) {
+            backend_entry listed = entry(5, 8);
+            listed.id = id;
+            table->put(listed, now);
+        }
+    }
+    hearer.note_load(*hearer.find("e1"), {.running = 40}, now);
+    hearer.note_load(*hearer.find("e2"), {.running = 1}, now);
+    ASSERT_EQ(hearer.busy_to_tell(now).size(), 1U);
+    first.hear_busy(hearer.busy_to_tell(now)[0], now + 100ms);
+    EXPECT_EQ(first.find("e1")->load(now + 100ms), 40U);
+    ASSERT_EQ(first.busy_to_tell(now + 200ms).size(), 1U);
+    second.hear_busy(first.busy_to_tell(now + 200ms)[0], now + 300ms);
+    EXPECT_EQ(second.find("e1")->load(now + 300ms), 40U);
+    EXPECT_TRUE(second.busy_to_tell(now + 1000ms).empty()) << "as old as at the first";
+    EXPECT_EQ(second.find("e1")->load(now + 1000ms), 0U);
+}
+
+TEST(backend_table, what_a_server_said_later_goes_before_what_others_heard)
+{
+    backend_table table;
+    table.put(entry(5, 8), now);
+    backend& server = *table.find("e1");
+    table.note_load(server, {.running = 3}, now);
+    const auto hash = static_cast<std::uint32_t>(server.hash);
+    table.hear_busy({.server = hash, .held = 40, .at = now - 100ms}, now);
+    EXPECT_EQ(server.load(now), 3U);
+    table.hear_busy({.server = hash, .held = 40, .at = now + 100ms}, now);
+    EXPECT_EQ(server.load(now), 3U) << "a report from the future is nobody's";
+}
--- /dev/null
+++ b/Tests/Relay/log_follower_test.cpp
@@ -0,0 +1,92 @@
+// How a log of keyed records is listed and followed, with the answers written by the test.
+
+#include "kernel.h"
+#include "log_follower.h"
+
+#include <gtest/gtest.h>
+
+using namespace cyclamen;
+
+namespace {
+
+class log_follower_listing : public testing::Test {
+protected:
+    log_follower_listing()
+        : mirror([](const mirrored_record& /*record*/) {}),
+          follower(core, {.name = "servers"}, mirror,
+                   {.list =
+                        [this](const std::optional<std::string>& after,
+                               std::function<void(log_page)> on_page) {
+                            asked_after = after.value_or("");
+                            answer = std::move(on_page);
+                        },
+                    .read =
+                        [this](std::uint64_t from, millis /*wait*/,
+                               std::function<void(log_page)> on_page) {
+                            read_from = from;
+                            answer = std::move(on_page);
+                        },
+                    .should_read = {},
+                    .on_answered = [] {},
+                    .on_failed = [this](const std::string& /*why*/) { ++failures; },
+                    .on_taken = [this] { ++taken; }})
+    {
+        follower.start();
+    }
+
+    // Answers the open call.
+    void reply(log_page page) { std::exchange(answer, {})(std::move(page)); }
+
+    static mirrored_record record(const std::string& key, std::uint64_t offset)
+    {
+        return {.key = key, .value = "x", .offset = offset};
+    }
+
+    kernel core{{.program = "test", .instance = "test"}};
+    record_mirror mirror;
+    log_follower follower;
+    std::function<void(log_page)> answer;
+    std::string asked_after;
+    std::uint64_t read_from = 0;
+    unsigned failures = 0;
+    unsigned taken = 0;
+};
+
+} // namespace
+
+TEST_F(log_follower_listing, each_page_of_a_long_list_serves_at_once)
+{
+    reply({.end = log_call_end::answered,
+           .records = {record("a", 3), record("b", 5)},
+           .log_end = 8,
+           .more_after = "b"});
+    EXPECT_EQ(asked_after, "b");
+    EXPECT_EQ(mirror.size(), 2U);
+    EXPECT_FALSE(mirror.position()) << "the rest is not known yet";
+    EXPECT_EQ(taken, 1U);
+    reply({.end = log_call_end::answered, .records = {record("c", 9)}, .log_end = 10});
+    EXPECT_EQ(mirror.size(), 3U);
+    EXPECT_EQ(read_from, 8U) << "what changed between the pages is read again";
+}
+
+TEST_F(log_follower_listing, a_key_that_no_page_names_was_dropped)
+{
+    reply({.end = log_call_end::answered, .records = {record("a", 3)}, .log_end = 4});
+    EXPECT_EQ(read_from, 4U);
+    reply({.end = log_call_end::gone});
+    reply({.end = log_call_end::answered, .records = {record("b", 20)}, .log_end = 21});
+    ASSERT_EQ(mirror.listing().size(), 1U);
+    EXPECT_EQ(mirror.listing()[0].key, "b");
+}
+
+TEST_F(log_follower_listing, a_failed_page_keeps_what_came_before)
+{
+    reply({.end = log_call_end::answered,
+           .records = {record("a", 3)},
+           .log_end = 8,
+           .more_after = "a"});
+    reply({.end = log_call_end::failed, .why = "status 503"});
+    EXPECT_EQ(failures, 1U);
+    EXPECT_FALSE(follower.answered());
+    EXPECT_EQ(mirror.size(), 1U);
+}
