--- a/Source/agent_core.h
+++ b/Source/agent_core.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include "answer_tail.h"
+#include "agent_job.h"
+#include "agent_limits.h"
 #include "claim_ledger.h"
-#include "cold_start_ramp.h"
 #include "configuration_state.h"
 #include "counters.h"
 #include "crash_register.h"
 #include "entry_memory.h"
 #include "fair_queue.h"
-#include "load_estimator.h"
+#include "key_gate.h"
 #include "time_types.h"
 
 #include <nlohmann/json_fwd.hpp>
@@ -29,33 +29,18 @@
     std::string availability_zone;
     std::string service;
     std::uint64_t incarnation = 0;
-    unsigned capacity = 16;                  // requests in flight at the backend server
-    double most_account_share = 0.5;         // of capacity, for one account while others are active
     std::size_t answer_window = 262144;      // bytes sent ahead of acknowledgements
     std::size_t most_answer_bytes = 8388608; // kept for one answer
     std::size_t most_jobs = 65536;           // open and ended jobs, tombstones
     millis finished_kept = 60000ms;          // idempotent jobs that ended
     millis longest_deadline = 600000ms;      // tombstones and other jobs outlive any deadline
     millis orphan_after = 10000ms;           // entry silent: an idempotent run is stopped
-    cold_start_ramp_options ramp{};
-    load_estimator_options load{};
+    agent_limits_options limits{};
     fair_queue_options queue{};
     crash_register_options crashes{};
     entry_memory_options entries{};
 };
 
-/// One attempt of a request, as agents and entries name it.
-struct attempt_id {
-    std::uint64_t entry_incarnation = 0;
-    std::uint64_t sequence = 0;
-    unsigned attempt = 0;
-
-    auto operator<=>(const attempt_id&) const = default; // NOLINT(modernize-use-nullptr)
-};
-
-/// What the claim stream says before and after a claim.
-enum class claim_readiness { ready, not_read, log_down };
-
 /// How a backend server's run ended.
 enum class run_end { complete, refused_connection, lost, crashed, too_large };
 
@@ -108,70 +93,42 @@
     void on_backend_state(bool up, bool cold)
     {
         backend_up_ = up;
-        ramp_.told_cold(cold);
+        limits_.ramp().told_cold(cold);
     }
 
     // From the instance list and the process.
     void set_leaving(bool leaving) { leaving_ = leaving; }
-    void set_pool_size(unsigned size) { load_.set_pool_size(size); }
+    void set_pool_size(unsigned size) { limits_.load().set_pool_size(size); }
     void begin_stop() { stopping_ = true; }
     void on_tick(millis now);
 
-    unsigned in_flight() const { return in_flight_; }
+    unsigned in_flight() const { return limits_.in_flight(); }
     /// Requests not yet answered whole, waiting ones included.
     std::size_t open_jobs() const;
     bool accepting() const;
     wire::load_report load_report() const;
-    const cold_start_ramp& ramp() const { return ramp_; }
+    const cold_start_ramp& ramp() const { return limits_.ramp(); }
     const crash_register& crashes() const { return crashes_; }
     nlohmann::json describe(millis now) const;
 
 private:
-    enum class phase { queued, claiming, running, finished, tombstone };
-
-    struct job {
-        wire::dispatch request; // emptied when the job ends
-        wire::request_class repeat = wire::idempotent;
-        std::string route;
-        phase state = phase::queued;
-        bool cancelled = false;
-        millis deadline{0};
-        millis heard{0}; // last message from the entry
-        millis ended{0};
-        std::string token; // of the claim
-        unsigned status = 0;
-        std::string content_type;
-        answer_tail answer;
-        std::uint64_t sent = 0;
-        std::uint64_t acknowledged = 0;
-        wire::answer_end end = wire::more;
-        bool replayed = false;
-        bool crashed = false;
-        std::uint64_t handle = 0; // in the waiting queue
-    };
-
-    using job_table = std::map<attempt_id, job>;
+    using job_table = std::map<attempt_id, agent_job>;
 
     wire::refusal refusal_of(const wire::dispatch& message, millis now) const;
-    wire::refusal limit_reached(const wire::dispatch& message, millis now) const;
-    wire::refusal key_refusal(const wire::dispatch& message) const;
     bool replay_known_answer(attempt_id id, const std::string& route, const wire::dispatch& message,
                              millis now);
     void admit(attempt_id id, const std::string& route, const wire::dispatch& message, millis now);
-    void begin(attempt_id id, job& work, millis now);
-    void run(attempt_id id, job& work);
+    void begin(attempt_id id, agent_job& work, millis now);
+    void run(attempt_id id, agent_job& work);
     void start_waiting(millis now);
-    void end_job(attempt_id id, job& work, wire::answer_end end, millis now);
+    void end_job(attempt_id id, agent_job& work, wire::answer_end end, millis now);
     void leave_tombstone(attempt_id id, millis now);
     void drop_refused(attempt_id id, wire::refusal reason, millis now);
-    void release_place(const job& work);
     void send_verdict(const std::string& route, attempt_id id, wire::verdict_kind kind,
                       wire::refusal reason, millis now);
-    void send_answer(attempt_id id, job& work);
-    void resend_state(attempt_id id, job& work, millis now);
+    void send_answer(attempt_id id, agent_job& work);
+    void resend_state(attempt_id id, agent_job& work, millis now);
     millis time_left(const wire::dispatch& message, millis now) const;
-    unsigned held_by(const std::string& account) const;
-    bool over_share(const std::string& account) const;
     double account_weight(const std::string& account) const;
     void forget_old(millis now);
 
@@ -179,15 +136,13 @@
     const configuration_state& configuration_;
     counters& metrics_;
     hooks hooks_;
-    cold_start_ramp ramp_;
-    load_estimator load_;
+    agent_limits limits_;
+    key_gate keys_;
     fair_queue queue_;
     crash_register crashes_;
     job_table jobs_;
     entry_memory entries_;
     std::map<std::uint64_t, attempt_id> waiting_;
-    std::map<std::string, unsigned> account_in_flight_;
-    unsigned in_flight_ = 0;
     std::uint64_t next_handle_ = 1;
     std::uint64_t next_claim_ = 1;
     bool stopping_ = false;
@@ -196,7 +151,4 @@
     bool was_out_ = false; // withdrawn by zone or drain at the last tick
 };
 
-/// The attempt that a message names.
-attempt_id attempt_of(const wire::request_id& id, unsigned attempt);
-
 } // namespace cyclamen
--- /dev/null
+++ b/Source/agent_links.cpp
@@ -0,0 +1,78 @@
+#include "agent_links.h"
+
+#include "instance_directory.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cyclamen {
+
+agent_link* agent_links::to(const instance_directory& directory, const std::string& instance)
+{
+    const listed_instance* listed = directory.find(instance);
+    const auto found = links_.find(instance);
+    if (found != links_.end()) {
+        if (listed == nullptr || listed->address == found->second->address()) {
+            return found->second.get();
+        }
+        // Replaced at another address: the process there is a new one.
+        retired_.push_back(std::move(found->second));
+        links_.erase(found);
+        hooks_.on_unreachable(instance);
+        const auto reopened = links_.find(instance);
+        if (reopened != links_.end()) {
+            return reopened->second.get();
+        }
+    }
+    return listed == nullptr ? nullptr : open(instance, listed->address);
+}
+
+agent_link* agent_links::open(const std::string& instance, const std::string& address)
+{
+    ++core_.metrics().named("links_opened");
+    agent_link::handlers handlers{
+        .on_message = [this, instance](
+                          const wire::envelope& message) { hooks_.on_message(instance, message); },
+        .on_welcome = [this, instance](bool same) { hooks_.on_welcome(instance, same); },
+        .on_unreachable = [this, instance] { hooks_.on_unreachable(instance); },
+        .hello = hooks_.hello};
+    auto link =
+        std::make_unique<agent_link>(core_, instance, address, options_, std::move(handlers));
+    agent_link* opened = link.get();
+    links_[instance] = std::move(link);
+    return opened;
+}
+
+void agent_links::tick(const std::set<std::string>& with_open_requests,
+                       std::uint64_t configuration_offset)
+{
+    retired_.clear();
+    std::vector<agent_link*> links;
+    for (const auto& [instance, link] : links_) {
+        links.push_back(link.get());
+    }
+    const millis now = core_.now();
+    for (agent_link* link : links) {
+        const bool open = with_open_requests.contains(link->instance());
+        if (!open && now - link->used() > idle_) {
+            const std::string instance = link->instance();
+            retired_.push_back(std::move(links_.at(instance)));
+            links_.erase(instance);
+            continue;
+        }
+        if (open || link->welcomed()) {
+            link->on_tick(open, configuration_offset);
+        }
+    }
+}
+
+nlohmann::json agent_links::describe() const
+{
+    nlohmann::json rows = nlohmann::json::array();
+    for (const auto& [instance, link] : links_) {
+        rows.push_back(
+            {{"agent", instance}, {"welcomed", link->welcomed()}, {"replaced", link->replaced()}});
+    }
+    return rows;
+}
+
+} // namespace cyclamen
--- a/Source/entry_dispatcher.cpp
+++ b/Source/entry_dispatcher.cpp
@@ -2,12 +2,12 @@
 
 #include "configuration_feed.h"
 #include "event_log.h"
-#include "hashing.h"
 #include "instance_directory.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace cyclamen {
 
@@ -23,23 +23,21 @@
     message.set_attempt(attempt);
 }
 
-// Refusals that say the agent takes nothing for a while.
-bool shuts_out(wire::refusal reason)
-{
-    return reason == wire::stopping || reason == wire::leaving || reason == wire::backend_down ||
-           reason == wire::unknown_service || reason == wire::claims_not_read;
-}
-
-bool is_load(wire::refusal reason)
-{
-    return reason == wire::over_load_bound || reason == wire::over_ramp ||
-           reason == wire::over_capacity || reason == wire::over_account_share;
-}
-
 } // namespace
 
 entry_dispatcher::entry_dispatcher(kernel& core, entry_dispatcher_options options)
-    : core_(core), options_(options), retries_(options_.retries), heat_(options_.heat)
+    : core_(core), options_(options), retries_(options_.retries),
+      ranking_(options_.heat, options_.candidates),
+      links_(
+          core, options_.link, options_.link_idle,
+          {.on_message =
+               [this](const std::string& instance, const wire::envelope& message) {
+                   on_link_message(instance, message);
+               },
+           .on_welcome = [this](const std::string& instance,
+                                bool same) { on_link_welcome(instance, same); },
+           .on_unreachable = [this](const std::string& instance) { on_link_unreachable(instance); },
+           .hello = [this] { return greeting(); }})
 {
 }
 
@@ -49,47 +47,12 @@
 {
     configuration_ = &core_.find<configuration_feed>("configuration");
     directory_ = &core_.find<instance_directory>("directory");
-    directory_->changed.connect([this] { rebuild_candidates(); });
-    configuration_->advanced.connect([this] { rebuild_candidates(); });
+    const auto rebuild = [this] { ranking_.rebuild(*directory_, configuration_->state()); };
+    directory_->changed.connect(rebuild);
+    configuration_->advanced.connect(rebuild);
     tick_ = core_.every(tick_interval, [this] { tick(); });
 }
 
-void entry_dispatcher::rebuild_candidates()
-{
-    pools_.clear();
-    names_.clear();
-    const configuration_state& state = configuration_->state();
-    for (const auto& [name, listed] : directory_->instances()) {
-        if (listed.role != instance_role::agent || listed.leaving ||
-            state.zone_out(listed.availability_zone) || state.drained(name)) {
-            continue;
-        }
-        const auto index = static_cast<std::uint32_t>(names_.size());
-        names_.push_back(name);
-        pools_[listed.service].push_back({.hash = hash_of(name), .index = index});
-    }
-}
-
-std::vector<std::string> entry_dispatcher::candidates_for(const entry_request& request)
-{
-    std::vector<std::string> ranked;
-    const auto pool = pools_.find(request.message.service());
-    if (pool == pools_.end()) {
-        return ranked;
-    }
-    const millis now = core_.now();
-    const std::size_t width = heat_.width(request.place.prefix, now);
-    std::vector<std::string> last;
-    for (const std::uint32_t index :
-         rank_engines(request.place, pool->second, width, options_.candidates)) {
-        const auto avoided = avoided_until_.find(names_[index]);
-        const bool avoid = avoided != avoided_until_.end() && now < avoided->second;
-        (avoid ? last : ranked).push_back(names_[index]);
-    }
-    ranked.insert(ranked.end(), last.begin(), last.end());
-    return ranked;
-}
-
 std::uint64_t entry_dispatcher::submit(entry_request request, answer_sink sink)
 {
     const std::uint64_t sequence = next_sequence_++;
@@ -100,16 +63,19 @@
     open.sink = std::move(sink);
     open.attempts = std::make_unique<request_attempts>(
         options_.attempts, open.request.message.repeat(), open.request.deadline,
-        request_attempts::hooks{
-            .candidates = [this, &open] { return candidates_for(open.request); },
-            .take_retry =
-                [this, &open] {
-                    if (open.sink.committed() || !retries_.take()) {
-                        return false;
-                    }
-                    ++core_.metrics().named("retries");
-                    return true;
-                }});
+        request_attempts::hooks{.candidates =
+                                    [this, &open] {
+                                        return ranking_.rank(open.request.message.service(),
+                                                             open.request.place, core_.now());
+                                    },
+                                .take_retry =
+                                    [this, &open] {
+                                        if (open.sink.committed() || !retries_.take()) {
+                                            return false;
+                                        }
+                                        ++core_.metrics().named("retries");
+                                        return true;
+                                    }});
     open.deadline = core_.after(open.request.deadline - core_.now(),
                                 [this, sequence] { on_deadline(sequence); });
     carry_out(sequence, open.attempts->start(core_.now()));
@@ -136,7 +102,7 @@
 
 bool entry_dispatcher::send_fence(std::uint64_t sequence, open_request& open)
 {
-    agent_link* link = link_to(open.attempts->agent());
+    agent_link* link = links_.to(*directory_, open.attempts->agent());
     if (link == nullptr || !link->welcomed()) {
         return false;
     }
@@ -175,50 +141,6 @@
     }
 }
 
-agent_link* entry_dispatcher::link_to(const std::string& instance)
-{
-    const listed_instance* listed = directory_->find(instance);
-    const auto found = links_.find(instance);
-    if (found != links_.end()) {
-        if (listed == nullptr || listed->address == found->second->address()) {
-            return found->second.get();
-        }
-        // Replaced at another address: the process there is a new one.
-        retired_.push_back(std::move(found->second));
-        links_.erase(found);
-        on_link_unreachable(instance);
-        const auto reopened = links_.find(instance);
-        if (reopened != links_.end()) {
-            return reopened->second.get();
-        }
-    }
-    return listed == nullptr ? nullptr : open_link(instance, listed->address);
-}
-
-agent_link* entry_dispatcher::open_link(const std::string& instance, const std::string& address)
-{
-    ++core_.metrics().named("links_opened");
-    agent_link::handlers handlers{
-        .on_message =
-            [this, instance](const wire::envelope& message) { on_link_message(instance, message); },
-        .on_welcome = [this, instance](bool same) { on_link_welcome(instance, same); },
-        .on_unreachable = [this, instance] { on_link_unreachable(instance); },
-        .hello =
-            [this] {
-                wire::hello greeting;
-                greeting.set_instance(core_.instance());
-                greeting.set_incarnation(core_.incarnation());
-                greeting.set_next_sequence(next_sequence_);
-                greeting.set_sent_at_ms(static_cast<std::uint64_t>(core_.now().count()));
-                return greeting;
-            }};
-    auto link =
-        std::make_unique<agent_link>(core_, instance, address, options_.link, std::move(handlers));
-    agent_link* opened = link.get();
-    links_[instance] = std::move(link);
-    return opened;
-}
-
 std::vector<std::uint64_t> entry_dispatcher::open_at(const std::string& instance) const
 {
     std::vector<std::uint64_t> sequences;
@@ -235,7 +157,7 @@
     open.sent = false;
     open.answer = answer_assembler();
     open.acknowledged = 0;
-    agent_link* link = link_to(open.attempts->agent());
+    agent_link* link = links_.to(*directory_, open.attempts->agent());
     if (link == nullptr) {
         carry_out(sequence, open.attempts->not_sent(open.attempts->attempt(), core_.now()));
         return;
@@ -297,7 +219,7 @@
         return;
     case wire::envelope::kConfigurationUpdate: {
         const auto answer = configuration_->on_update(message.configuration_update());
-        agent_link* link = link_to(instance);
+        agent_link* link = links_.to(*directory_, instance);
         if (answer && link != nullptr) {
             wire::envelope reply;
             *reply.mutable_configuration_update() = *answer;
@@ -312,7 +234,7 @@
 
 void entry_dispatcher::on_verdict(const std::string& instance, const wire::verdict& message)
 {
-    agent_link* link = link_to(instance);
+    agent_link* link = links_.to(*directory_, instance);
     if (link != nullptr && configuration_->behind(message.configuration_offset())) {
         wire::envelope question;
         *question.mutable_configuration_update() = configuration_->question();
@@ -325,10 +247,10 @@
     const millis now = core_.now();
     ++core_.metrics().named("refusals");
     if (shuts_out(message.reason())) {
-        avoided_until_[instance] = now + options_.avoided;
+        ranking_.avoid(instance, now + options_.avoided);
     }
     if (is_load(message.reason())) {
-        heat_.refused(open->request.place.prefix, now);
+        ranking_.refused_for_load(open->request.place.prefix, now);
         if (open->seen.size() < options_.most_seen) {
             wire::seen_load& seen = open->seen.emplace_back();
             seen.set_instance(instance);
@@ -357,7 +279,7 @@
     }
     const std::uint64_t sequence = message.id().sequence();
     if (message.end() == wire::failed_before_run || message.end() == wire::failed_maybe_run) {
-        avoided_until_[open->attempts->agent()] = core_.now() + options_.avoided;
+        ranking_.avoid(open->attempts->agent(), core_.now() + options_.avoided);
         carry_out(sequence, open->attempts->backend_failed(message.attempt(),
                                                            message.end() == wire::failed_maybe_run,
                                                            message.crashed_backend(), core_.now()));
@@ -371,7 +293,7 @@
     const auto fresh = open->answer.take(message);
     if (!fresh) {
         ++core_.metrics().named("answer_gaps");
-        agent_link* link = link_to(open->attempts->agent());
+        agent_link* link = links_.to(*directory_, open->attempts->agent());
         if (link != nullptr) {
             wire::envelope again;
             name_attempt(*again.mutable_resume(), core_, sequence, message.attempt());
@@ -400,7 +322,7 @@
     if (!due && !always) {
         return;
     }
-    agent_link* link = link_to(open.attempts->agent());
+    agent_link* link = links_.to(*directory_, open.attempts->agent());
     if (link == nullptr) {
         return;
     }
@@ -445,10 +367,10 @@
 
 void entry_dispatcher::on_link_welcome(const std::string& instance, bool same)
 {
-    agent_link& link = *links_.at(instance);
+    agent_link& link = links_.at(instance);
     log_event(event_id::link_opened, "agent={} incarnation={:016x}", instance,
               link.agent_incarnation());
-    avoided_until_.erase(instance);
+    ranking_.stop_avoiding(instance);
     for (const std::uint64_t sequence : open_at(instance)) {
         const auto found = open_.find(sequence);
         if (found == open_.end()) {
@@ -477,7 +399,7 @@
 void entry_dispatcher::on_link_unreachable(const std::string& instance)
 {
     const millis now = core_.now();
-    avoided_until_[instance] = now + options_.avoided;
+    ranking_.avoid(instance, now + options_.avoided);
     for (const std::uint64_t sequence : open_at(instance)) {
         const auto found = open_.find(sequence);
         if (found == open_.end()) {
@@ -538,31 +460,24 @@
 
 void entry_dispatcher::tick()
 {
-    retired_.clear();
-    std::map<std::string, unsigned> open_on;
+    std::set<std::string> with_open_requests;
     for (const auto& [sequence, open] : open_) {
         if (open.attempts->open()) {
-            ++open_on[open.attempts->agent()];
-        }
-    }
-    std::vector<agent_link*> links;
-    for (const auto& [instance, link] : links_) {
-        links.push_back(link.get());
-    }
-    const millis now = core_.now();
-    for (agent_link* link : links) {
-        const bool open = open_on.contains(link->instance());
-        if (!open && now - link->used() > options_.link_idle) {
-            const std::string instance = link->instance();
-            retired_.push_back(std::move(links_.at(instance)));
-            links_.erase(instance);
-            continue;
-        }
-        if (open || link->welcomed()) {
-            link->on_tick(open, configuration_->state().offset());
+            with_open_requests.insert(open.attempts->agent());
         }
     }
-    std::erase_if(avoided_until_, [&](const auto& row) { return now >= row.second; });
+    links_.tick(with_open_requests, configuration_->state().offset());
+    ranking_.forget_old(core_.now());
+}
+
+wire::hello entry_dispatcher::greeting() const
+{
+    wire::hello message;
+    message.set_instance(core_.instance());
+    message.set_incarnation(core_.incarnation());
+    message.set_next_sequence(next_sequence_);
+    message.set_sent_at_ms(static_cast<std::uint64_t>(core_.now().count()));
+    return message;
 }
 
 nlohmann::json entry_dispatcher::describe() const
@@ -577,15 +492,10 @@
                             {"received", open.answer.received()},
                             {"time_left_ms", (open.request.deadline - core_.now()).count()}});
     }
-    nlohmann::json links = nlohmann::json::array();
-    for (const auto& [instance, link] : links_) {
-        links.push_back(
-            {{"agent", instance}, {"welcomed", link->welcomed()}, {"replaced", link->replaced()}});
-    }
     return {{"open", requests},
-            {"links", links},
+            {"links", links_.describe()},
             {"retry_balance", retries_.balance()},
-            {"hot_prefixes", heat_.size()}};
+            {"hot_prefixes", ranking_.hot_prefixes()}};
 }
 
 } // namespace cyclamen
--- a/Source/entry_dispatcher.h
+++ b/Source/entry_dispatcher.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include "agent_link.h"
+#include "agent_links.h"
+#include "agent_ranking.h"
 #include "answer_assembler.h"
 #include "kernel.h"
-#include "placement.h"
-#include "prefix_heat.h"
 #include "request_attempts.h"
 #include "retry_budget.h"
 #include "service.h"
@@ -107,8 +106,6 @@
 
     using request_table = std::map<std::uint64_t, open_request>;
 
-    void rebuild_candidates();
-    std::vector<std::string> candidates_for(const entry_request& request);
     void carry_out(std::uint64_t sequence, const request_step& step);
     void dispatch(std::uint64_t sequence, open_request& open);
     void send_dispatch(std::uint64_t sequence, open_request& open, agent_link& link);
@@ -117,8 +114,7 @@
     void finish(std::uint64_t sequence, outcome result, wire::refusal reason);
     void acknowledge(std::uint64_t sequence, open_request& open, bool always);
 
-    agent_link* link_to(const std::string& instance);
-    agent_link* open_link(const std::string& instance, const std::string& address);
+    wire::hello greeting() const;
     std::vector<std::uint64_t> open_at(const std::string& instance) const;
     void on_link_message(const std::string& instance, const wire::envelope& message);
     void on_link_welcome(const std::string& instance, bool same);
@@ -135,13 +131,9 @@
     configuration_feed* configuration_ = nullptr;
     instance_directory* directory_ = nullptr;
     retry_budget retries_;
-    prefix_heat heat_;
+    agent_ranking ranking_;
     request_table open_;
-    std::map<std::string, std::unique_ptr<agent_link>> links_; // by instance
-    std::vector<std::unique_ptr<agent_link>> retired_;
-    std::map<std::string, millis> avoided_until_;
-    std::map<std::string, std::vector<placement_candidate>> pools_; // by service
-    std::vector<std::string> names_;                                // by candidate index
+    agent_links links_;
     std::uint64_t next_sequence_ = 1;
     kernel::timer tick_;
 };
--- a/Source/refusal_names.h
+++ b/Source/refusal_names.h
@@ -28,4 +28,18 @@
     return wire::refusal_Name(reason);
 }
 
+/// The agent takes nothing for a while.
+inline bool shuts_out(wire::refusal reason)
+{
+    return reason == wire::stopping || reason == wire::leaving || reason == wire::backend_down ||
+           reason == wire::unknown_service || reason == wire::claims_not_read;
+}
+
+/// The engine is loaded; another one may have room.
+inline bool is_load(wire::refusal reason)
+{
+    return reason == wire::over_load_bound || reason == wire::over_ramp ||
+           reason == wire::over_capacity || reason == wire::over_account_share;
+}
+
 } // namespace cyclamen
--- a/Tests/Proofs/fleet_model.cpp
+++ b/Tests/Proofs/fleet_model.cpp
@@ -117,7 +117,7 @@
                                .availability_zone = "zone",
                                .service = "orders",
                                .incarnation = self->incarnation,
-                               .ramp = {.capacity = 16}};
+                               .limits = {.ramp = {.capacity = 16}}};
     options.crashes.crashes_allowed = 1000; // not what this model is about
     self->core = std::make_unique<agent_core>(options, configuration_, metrics_, std::move(hooks));
     agents_[number] = std::move(fresh);
