--- a/Source/entry_dispatcher.cpp
+++ b/Source/entry_dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "entry_dispatcher.h"
 
+#include "agent_job.h"
 #include "configuration_feed.h"
 #include "event_log.h"
 #include "instance_directory.h"
@@ -15,14 +16,6 @@
 
 constexpr millis tick_interval = 100ms;
 
-template <typename Message>
-void name_attempt(Message& message, const kernel& core, std::uint64_t sequence, unsigned attempt)
-{
-    message.mutable_id()->set_entry_incarnation(core.incarnation());
-    message.mutable_id()->set_sequence(sequence);
-    message.set_attempt(attempt);
-}
-
 } // namespace
 
 entry_dispatcher::entry_dispatcher(kernel& core, entry_dispatcher_options options)
@@ -107,7 +100,8 @@
         return false;
     }
     wire::envelope fence;
-    name_attempt(*fence.mutable_cancel_fence(), core_, sequence, open.attempts->attempt());
+    name_attempt(*fence.mutable_cancel_fence(),
+                 {core_.incarnation(), sequence, open.attempts->attempt()});
     fence.mutable_cancel_fence()->set_agent_incarnation(link->agent_incarnation());
     fence.mutable_cancel_fence()->set_abandon(true);
     return link->send(std::move(fence));
@@ -173,7 +167,7 @@
     wire::envelope message;
     wire::dispatch& body = *message.mutable_dispatch();
     body = open.request.message;
-    name_attempt(body, core_, sequence, open.attempts->attempt());
+    name_attempt(body, {core_.incarnation(), sequence, open.attempts->attempt()});
     body.set_agent_incarnation(link.agent_incarnation());
     body.set_configuration_offset(configuration_->state().offset());
     body.set_may_queue(open.may_queue);
@@ -296,7 +290,8 @@
         agent_link* link = links_.to(*directory_, open->attempts->agent());
         if (link != nullptr) {
             wire::envelope again;
-            name_attempt(*again.mutable_resume(), core_, sequence, message.attempt());
+            name_attempt(*again.mutable_resume(),
+                         {core_.incarnation(), sequence, message.attempt()});
             again.mutable_resume()->set_agent_incarnation(link->agent_incarnation());
             again.mutable_resume()->set_received(open->answer.received());
             link->send(std::move(again));
@@ -327,7 +322,8 @@
         return;
     }
     wire::envelope ack;
-    name_attempt(*ack.mutable_answer_ack(), core_, sequence, open.attempts->attempt());
+    name_attempt(*ack.mutable_answer_ack(),
+                 {core_.incarnation(), sequence, open.attempts->attempt()});
     ack.mutable_answer_ack()->set_received(received);
     link->send(std::move(ack));
     open.acknowledged = received;
@@ -388,7 +384,7 @@
         else {
             ++core_.metrics().named("answers_resumed");
             wire::envelope message;
-            name_attempt(*message.mutable_resume(), core_, sequence, attempt);
+            name_attempt(*message.mutable_resume(), {core_.incarnation(), sequence, attempt});
             message.mutable_resume()->set_agent_incarnation(link.agent_incarnation());
             message.mutable_resume()->set_received(open.answer.received());
             link.send(std::move(message));
--- a/Source/load_experiment.cpp
+++ b/Source/load_experiment.cpp
@@ -9,18 +9,6 @@
 
 namespace {
 
-setting number(std::string section, std::string key, std::int64_t fallback, std::int64_t least,
-               std::int64_t most, std::string description)
-{
-    return {.section = std::move(section),
-            .key = std::move(key),
-            .type = setting_type::integer,
-            .fallback = std::to_string(fallback),
-            .least = least,
-            .most = most,
-            .description = std::move(description)};
-}
-
 std::vector<std::string> pattern_names()
 {
     std::vector<std::string> names;
@@ -72,24 +60,25 @@
     constexpr std::int64_t most_seconds = 3600;
     constexpr std::int64_t most_percent = 1000;
     return settings_schema(
-        {number("pool", "entries", 5, 1, 1000, "entries, each with its own knowledge"),
-         number("pool", "engines", 12, 1, most_count, "engines of the pool"),
-         number("pool", "zones", 3, 1, 100, "availability zones"),
-         number("load", "requests_per_second", 40, 1, most_count, "of all kinds together"),
-         number("load", "seconds", 40, 1, most_seconds, "length of a run, s"),
-         number("load", "first_seed", 1, 1, INT64_MAX, "of the random numbers"),
-         number("load", "seeds", 3, 1, 1000, "runs, each with the next seed"),
+        {integer_setting("pool", "entries", 5, 1, 1000, "entries, each with its own knowledge"),
+         integer_setting("pool", "engines", 12, 1, most_count, "engines of the pool"),
+         integer_setting("pool", "zones", 3, 1, 100, "availability zones"),
+         integer_setting("load", "requests_per_second", 40, 1, most_count, "of all kinds together"),
+         integer_setting("load", "seconds", 40, 1, most_seconds, "length of a run, s"),
+         integer_setting("load", "first_seed", 1, 1, INT64_MAX, "of the random numbers"),
+         integer_setting("load", "seeds", 3, 1, 1000, "runs, each with the next seed"),
          {.section = "pattern",
           .key = "kind",
           .type = setting_type::choice,
           .fallback = "calm",
           .choices = pattern_names(),
           .description = "what happens"},
-         number("pattern", "from_s", 10, 0, most_seconds, "begin, s"),
-         number("pattern", "for_s", 10, 0, most_seconds, "length, s"),
-         number("pattern", "share_percent", 25, 0, 100, "of the engines, or of the requests"),
-         number("pattern", "strength_percent", 200, 0, most_percent,
-                "load, or time of a step; for `grey` a tenth of it fails")});
+         integer_setting("pattern", "from_s", 10, 0, most_seconds, "begin, s"),
+         integer_setting("pattern", "for_s", 10, 0, most_seconds, "length, s"),
+         integer_setting("pattern", "share_percent", 25, 0, 100,
+                         "of the engines, or of the requests"),
+         integer_setting("pattern", "strength_percent", 200, 0, most_percent,
+                         "load, or time of a step; for `grey` a tenth of it fails")});
 }
 
 pool_options experiment_pool(const settings_values& values)
--- a/Source/settings_schema.cpp
+++ b/Source/settings_schema.cpp
@@ -68,6 +68,18 @@
 
 } // namespace
 
+setting integer_setting(std::string section, std::string key, std::int64_t fallback,
+                        std::int64_t least, std::int64_t most, std::string description)
+{
+    return {.section = std::move(section),
+            .key = std::move(key),
+            .type = setting_type::integer,
+            .fallback = std::to_string(fallback),
+            .least = least,
+            .most = most,
+            .description = std::move(description)};
+}
+
 const std::string& settings_values::text(const std::string& section, const std::string& key) const
 {
     return values_.at(section).at(key);
--- a/Source/settings_schema.h
+++ b/Source/settings_schema.h
@@ -27,6 +27,10 @@
     std::string description;
 };
 
+/// A whole number from `least` to `most`.
+setting integer_setting(std::string section, std::string key, std::int64_t fallback,
+                        std::int64_t least, std::int64_t most, std::string description);
+
 /// Values of a checked settings file.  Every key of the schema has a value.
 class settings_values {
 public:
