Log stalls of the event loop, idle connections closed at a stop, and discarded input

New events 1004, 1707 and 1708, one line a stall, a stop and a connection, with counters loop_delays and caller_input_discarded. No logic changes.

--- a/Source/caller_connection.cpp
+++ b/Source/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "caller_connection.h"
 
+#include "event_log.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -97,7 +99,7 @@
 {
     evbuffer* input = bufferevent_get_input(channel_);
     if (state_ == stage::lingering) {
-        evbuffer_drain(input, evbuffer_get_length(input));
+        discard_input();
         return;
     }
     while (state_ == stage::reading) {
@@ -135,6 +137,14 @@
     }
 }
 
+void caller_connection::discard_input()
+{
+    evbuffer* input = bufferevent_get_input(channel_);
+    const std::size_t length = evbuffer_get_length(input);
+    discarded_bytes_ += length;
+    evbuffer_drain(input, length);
+}
+
 void caller_connection::on_head_received(const http_head& head)
 {
     request_ = head;
@@ -177,7 +187,8 @@
     if (close_delimited_) {
         keep_alive_ = false;
     }
-    if (!keep_alive_) {
+    close_announced_ = !keep_alive_;
+    if (close_announced_) {
         head.add("Connection", "close");
     }
     else if (request_.minor_version == 0) {
@@ -279,11 +290,23 @@
     return channel_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(channel_));
 }
 
-void caller_connection::close_if_idle()
+bool caller_connection::close_if_idle()
 {
-    if (state_ == stage::reading && !reader_.message_started()) {
+    const bool idle = state_ == stage::reading && !reader_.message_started();
+    if (idle) {
         close();
     }
+    return idle;
+}
+
+bool caller_connection::has_unread_input() const
+{
+    if (channel_ == nullptr) {
+        return false;
+    }
+    char byte = 0;
+    return evbuffer_get_length(bufferevent_get_input(channel_)) > 0 ||
+           recv(bufferevent_getfd(channel_), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 void caller_connection::start_timer(millis delay)
@@ -326,6 +349,11 @@
     }
     state_ = stage::closed;
     timer_ = {};
+    if (discarded_bytes_ > 0) {
+        ++core_.metrics().named("caller_input_discarded");
+        log_event(event_id::input_discarded, "bytes={} announced={}", discarded_bytes_,
+                  close_announced_);
+    }
     if (channel_ != nullptr) {
         bufferevent_free(channel_);
         channel_ = nullptr;
--- a/Source/caller_connection.h
+++ b/Source/caller_connection.h
@@ -74,8 +74,11 @@
     /// Sends `Connection: close` with the next response, so that the caller opens a new connection
     /// for its next request.
     void close_after_response() { keep_alive_ = false; }
-    /// Closes the connection immediately if no byte of a request has been read.
-    void close_if_idle();
+    /// Closes the connection immediately if no byte of a request has been read. Returns true if it
+    /// did.
+    bool close_if_idle();
+    /// True if bytes from the caller have arrived that the parser has not consumed.
+    bool has_unread_input() const;
 
     /// Called once if the caller disconnects before its response is complete.
     std::function<void()> on_disconnected;
@@ -96,6 +99,7 @@
     static void event(bufferevent* channel, short what, void* user);
 
     void read();
+    void discard_input();
     void on_head_received(const http_head& head);
     void fail(http_parse_error parse_error);
     void next_request();
@@ -118,6 +122,8 @@
     bool chunked_ = false;
     bool close_delimited_ = false; // the response body is delimited by the end of the connection
     bool is_head_request_ = false;
+    std::size_t discarded_bytes_ = 0; // received after the last response
+    bool close_announced_ = false;    // the latest response carried `Connection: close`
     kernel::timer timer_;
 };
 
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -24,6 +24,7 @@
     process_started = 1001,
     process_stopping = 1002,
     process_stopped = 1003,
+    loop_delayed = 1004,
     configuration_advanced = 1101,
     configuration_snapshot_taken = 1102,
     configuration_gap = 1103,
@@ -51,6 +52,8 @@
     request_ended = 1704,
     stray_answer = 1705,
     request_unreadable = 1706,
+    idle_callers_closed = 1707,
+    input_discarded = 1708,
     configuration_taken = 1801,
     backend_listed = 1802,
     backend_gone = 1803,
@@ -76,7 +79,7 @@
     std::string_view name;
 };
 
-inline constexpr std::size_t event_count = 46;
+inline constexpr std::size_t event_count = 49;
 
 /// Catalogue of all events, sorted by number.
 const std::array<event_description, event_count>& event_catalogue();
--- a/Source/kernel.cpp
+++ b/Source/kernel.cpp
@@ -16,6 +16,8 @@
 
 constexpr millis idle_check_interval = 20ms;
 constexpr millis log_flush_interval = 100ms;
+// Delays of the event loop above this are logged; callers notice them.
+constexpr millis logged_loop_delay = 100ms;
 constexpr int forced_stop_status = 3;
 
 void on_stop_signal(evutil_socket_t /*signal*/, short /*what*/, void* user)
@@ -82,7 +84,7 @@
     event_add(reload, nullptr);
     signals_.push_back(reload);
     set_event_buffering(true);
-    log_flush_ = every(log_flush_interval, [] { flush_events(); });
+    log_flush_ = every(log_flush_interval, [this] { on_log_flush(); });
 }
 
 kernel::~kernel()
@@ -100,6 +102,17 @@
     event_base_free(loop_);
 }
 
+void kernel::on_log_flush()
+{
+    const millis late = now() - log_flushed_at_ - log_flush_interval;
+    if (log_flushed_at_ > 0ms && late > logged_loop_delay) {
+        ++metrics_.named("loop_delays");
+        log_event(event_id::loop_delayed, "ms={}", late.count());
+    }
+    log_flushed_at_ = now();
+    flush_events();
+}
+
 service& kernel::lookup(std::string_view name)
 {
     for (const auto& registered : services_) {
--- a/Source/kernel.h
+++ b/Source/kernel.h
@@ -98,6 +98,7 @@
 private:
     service& lookup(std::string_view name);
     void check_idle();
+    void on_log_flush();
 
     kernel_options options_;
     event_base* loop_;
@@ -106,6 +107,7 @@
     counters metrics_;
     latency_histograms latencies_;
     timer log_flush_;
+    millis log_flushed_at_{0};
     std::vector<std::unique_ptr<service>> services_;
     std::vector<event*> signals_;
     timer idle_check_;
--- a/Source/relay_server.cpp
+++ b/Source/relay_server.cpp
@@ -197,9 +197,18 @@
     for (const auto& [key, caller_state] : callers_) {
         open.push_back(key);
     }
+    std::size_t closed = 0;
+    std::size_t unread = 0;
     for (caller_connection* connection : open) {
-        connection->close_if_idle();
+        const bool has_input = connection->has_unread_input();
+        if (!connection->close_if_idle()) {
+            continue;
+        }
+        ++closed;
+        unread += has_input ? 1 : 0;
     }
+    log_event(event_id::idle_callers_closed, "closed={} unread={} still_open={}", closed, unread,
+              callers_.size());
 }
 
 bool relay_server::idle() const
