--- /dev/null
+++ b/Tests/Relay/relay_shutdown_test.cpp
@@ -0,0 +1,130 @@
+// Tests what callers see of a relay that stops gracefully while its event loop is busy.
+
+#include "relay_harness.h"
+
+#include <gtest/gtest.h>
+
+using namespace cyclamen;
+
+namespace {
+
+class relay_shutdown : public testing::Test {
+protected:
+    static constexpr millis lame_duck_time = 60ms;
+    static constexpr millis stop_grace = 1000ms;
+
+    relay_shutdown()
+        : fleet({.lame_duck_time = lame_duck_time, .limits = {.stop_grace = stop_grace}}),
+          shop(fleet.add_backend("s1"))
+    {
+        fleet.configure(relay_harness::configuration());
+    }
+
+    // Opens a connection that stays open after its first response.
+    scripted_caller& add_idle_caller()
+    {
+        scripted_caller& caller = fleet.add_caller();
+        caller.send(get("/none/"));
+        EXPECT_TRUE(fleet.wait_for([&] { return caller.status() == 404; }));
+        return caller;
+    }
+
+    // Keeps the event loop from running for `time`, like a long computation does.
+    void block_loop(millis time)
+    {
+        const millis until = fleet.core().now() + time;
+        while (fleet.core().now() < until) {
+            // busy
+        }
+    }
+
+    // Checks that the backend server receives request `index` and that the caller gets its
+    // response.
+    void expect_served(scripted_caller& caller, std::size_t index)
+    {
+        ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() > index || caller.ended(); }));
+        ASSERT_EQ(shop.requests(), index + 1) << "the connection was closed without a response";
+        shop.respond(index, response_of("q1", "served"));
+        EXPECT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("served"); }));
+    }
+
+    relay_harness fleet;
+    scripted_backend& shop;
+};
+
+} // namespace
+
+// Guards against a lost request: idle connections were closed although a request had been read
+// into their buffer and waited there to be parsed.
+TEST_F(relay_shutdown, serves_a_request_that_arrived_before_its_idle_connection_closes)
+{
+    scripted_caller& caller = add_idle_caller();
+    fleet.relay().begin_stop();
+    caller.send(get("/view/"));
+    block_loop(lame_duck_time + 40ms);
+    expect_served(caller, 0);
+    EXPECT_NE(caller.received().find("Connection: close"), std::string::npos);
+}
+
+// Guards against a lost request: after a response whose headers had not announced the close, the
+// connection was closed and the next request was read and discarded.
+TEST_F(relay_shutdown, serves_the_next_request_after_a_response_that_began_before_the_stop)
+{
+    scripted_caller& caller = fleet.add_caller();
+    caller.send(get("/view/1"));
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 1; }));
+    shop.respond(0, "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nContent-Length: 10\r\n\r\nfirst");
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("first"); }));
+    ASSERT_EQ(caller.received().find("Connection: close"), std::string::npos);
+    fleet.relay().begin_stop();
+    shop.respond(0, " half");
+    caller.send(get("/view/2"));
+    expect_served(caller, 1);
+    EXPECT_NE(caller.received().find("Connection: close"), std::string::npos);
+}
+
+// Guards against a reset of callers that connected just before the listener closes.
+TEST_F(relay_shutdown, serves_a_connection_that_waits_to_be_accepted_when_the_listener_closes)
+{
+    fleet.relay().begin_stop();
+    scripted_caller& caller = fleet.add_caller();
+    caller.send(get("/view/"));
+    block_loop(lame_duck_time + 40ms);
+    expect_served(caller, 0);
+}
+
+// Guards against a reset of callers whose first request is still on its way when the listener
+// closes.
+TEST_F(relay_shutdown, gives_a_new_connection_time_to_send_its_first_request)
+{
+    fleet.relay().begin_stop();
+    scripted_caller& caller = fleet.add_caller();
+    block_loop(lame_duck_time + 40ms);
+    fleet.run_for(20ms);
+    caller.send(get("/view/"));
+    expect_served(caller, 0);
+}
+
+// Guards against a response that is lost at the exit: the process ended before it had written the
+// refusals of the requests that were still open at the end of the grace period.
+TEST_F(relay_shutdown, writes_refusals_before_it_is_idle_at_the_end_of_the_grace_period)
+{
+    scripted_caller& caller = fleet.add_caller();
+    caller.send(get("/view/"));
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 1; }));
+    fleet.relay().begin_stop();
+    ASSERT_TRUE(fleet.wait_for([&] { return fleet.relay().idle(); }));
+    caller.poll(); // the event loop does not run again, as if the process had exited
+    EXPECT_EQ(caller.status(), 502);
+}
+
+TEST_F(relay_shutdown, closes_idle_connections_after_the_listener)
+{
+    scripted_caller& caller = add_idle_caller();
+    const millis stopped_at = fleet.core().now();
+    fleet.relay().begin_stop();
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.ended(); }));
+    EXPECT_GE(fleet.core().now() - stopped_at, lame_duck_time);
+    EXPECT_LT(fleet.core().now() - stopped_at, stop_grace);
+    EXPECT_TRUE(fleet.wait_for([&] { return fleet.relay().idle(); }));
+}
--- a/Tests/Relay/relay_test.cpp
+++ b/Tests/Relay/relay_test.cpp
@@ -251,6 +251,26 @@
     EXPECT_TRUE(fleet.wait_for([&] { return shop.requests() == 1; }));
 }
 
+// After a busy period, the event loop finds the rest of a request and its expired time limit in
+// the same iteration.  The request must be served.
+TEST_F(relay, answers_a_request_whose_rest_came_before_its_time_limit_was_handled)
+{
+    relay_configuration tight = relay_harness::configuration(2);
+    tight.limits.head_timeout = 60ms;
+    fleet.configure(tight);
+    scripted_caller& caller = fleet.add_caller();
+    const std::string request = get("/view/");
+    caller.send(request.substr(0, 20));
+    fleet.run_for(20ms);
+    caller.send(request.substr(20));
+    const millis until = fleet.core().now() + 100ms;
+    while (fleet.core().now() < until) {
+        // keeps the event loop busy
+    }
+    EXPECT_TRUE(fleet.wait_for([&] { return shop.requests() == 1 || caller.status() != 0; }));
+    EXPECT_EQ(caller.status(), 0);
+}
+
 TEST_F(relay, keeps_callers_to_their_limits)
 {
     relay_configuration tight = relay_harness::configuration(2);
