--- a/Source/caller_connection.cpp
+++ b/Source/caller_connection.cpp
@@ -25,6 +25,9 @@
 constexpr millis linger_time = 1000ms;
 // Closes the connection if sent data stays unacknowledged for this long (TCP_USER_TIMEOUT).
 constexpr int tcp_user_timeout_ms = 5000;
+// Reads that follow an expired timer: one takes what is buffered, the next what was still in the
+// socket. More would let a slow sender extend its time limit.
+constexpr int max_late_reads = 2;
 constexpr int bad_request = 400;
 constexpr int request_timeout = 408;
 constexpr int content_too_large = 413;
@@ -239,7 +242,7 @@
     head_received_ = false;
     started_at_ = 0ms;
     reader_.next();
-    start_timer(hooks_.limits().idle_timeout);
+    start_timer(idle_timeout());
     if (evbuffer_get_length(bufferevent_get_input(channel_)) > 0) {
         bufferevent_trigger(channel_, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
     }
@@ -290,15 +293,21 @@
     return channel_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(channel_));
 }
 
-bool caller_connection::close_if_idle()
+void caller_connection::close_when_idle(millis idle_time)
 {
-    const bool idle = state_ == stage::reading && !reader_.message_started();
-    if (idle) {
-        close();
+    idle_limit_ = idle_time;
+    if (state_ == stage::reading && !reader_.message_started()) {
+        start_timer(idle_timeout());
     }
-    return idle;
 }
 
+millis caller_connection::idle_timeout() const
+{
+    const millis configured = hooks_.limits().idle_timeout;
+    return std::min(configured, idle_limit_.value_or(configured));
+}
+
+// True if bytes have arrived that the parser has not consumed.
 bool caller_connection::has_unread_input() const
 {
     if (channel_ == nullptr) {
@@ -311,14 +320,17 @@
 
 void caller_connection::start_timer(millis delay)
 {
+    late_reads_ = 0;
     timer_ = core_.after(delay, [this] { on_timeout(); });
 }
 
 void caller_connection::on_timeout()
 {
-    // The event loop may have been busy: a request that has already arrived is not timed out.
-    if (state_ == stage::reading && !reader_.message_started() &&
-        evbuffer_get_length(bufferevent_get_input(channel_)) > 0) {
+    // After a busy period, the event loop runs an expired timer before it hands over input that
+    // arrived in time.
+    if (state_ == stage::reading && late_reads_ < max_late_reads && has_unread_input()) {
+        ++late_reads_;
+        timer_ = core_.after(0ms, [this] { on_timeout(); });
         read();
         return;
     }
--- a/Source/caller_connection.h
+++ b/Source/caller_connection.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -74,11 +75,9 @@
     /// Sends `Connection: close` with the next response, so that the caller opens a new connection
     /// for its next request.
     void close_after_response() { keep_alive_ = false; }
-    /// Closes the connection immediately if no byte of a request has been read. Returns true if it
-    /// did.
-    bool close_if_idle();
-    /// True if bytes from the caller have arrived that the parser has not consumed.
-    bool has_unread_input() const;
+    /// Closes the connection once no request has arrived for `idle_time`, from now on and after
+    /// each later response.
+    void close_when_idle(millis idle_time);
 
     /// Called once if the caller disconnects before its response is complete.
     std::function<void()> on_disconnected;
@@ -104,6 +103,8 @@
     void fail(http_parse_error parse_error);
     void next_request();
     void start_timer(millis delay);
+    millis idle_timeout() const;
+    bool has_unread_input() const;
     void on_timeout();
     void linger();
     void close();
@@ -122,8 +123,10 @@
     bool chunked_ = false;
     bool close_delimited_ = false; // the response body is delimited by the end of the connection
     bool is_head_request_ = false;
-    std::size_t discarded_bytes_ = 0; // received after the last response
-    bool close_announced_ = false;    // the latest response carried `Connection: close`
+    std::size_t discarded_bytes_ = 0;  // received after the last response
+    bool close_announced_ = false;     // the latest response carried `Connection: close`
+    std::optional<millis> idle_limit_; // set by `close_when_idle`
+    int late_reads_ = 0;               // reads since the current timer expired
     kernel::timer timer_;
 };
 
--- a/Source/event_log.cpp
+++ b/Source/event_log.cpp
@@ -136,7 +136,7 @@
         {event_id::request_ended, severity::info, "request_ended"},
         {event_id::stray_answer, severity::warning, "stray_answer"},
         {event_id::request_unreadable, severity::info, "request_unreadable"},
-        {event_id::idle_callers_closed, severity::info, "idle_callers_closed"},
+        {event_id::callers_closing, severity::info, "callers_closing"},
         {event_id::input_discarded, severity::info, "input_discarded"},
         {event_id::configuration_taken, severity::info, "configuration_taken"},
         {event_id::backend_listed, severity::info, "backend_listed"},
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -52,7 +52,7 @@
     request_ended = 1704,
     stray_answer = 1705,
     request_unreadable = 1706,
-    idle_callers_closed = 1707,
+    callers_closing = 1707,
     input_discarded = 1708,
     configuration_taken = 1801,
     backend_listed = 1802,
--- a/Source/relay_server.cpp
+++ b/Source/relay_server.cpp
@@ -186,29 +186,18 @@
     }
     lame_duck_timer_ = core_.after(options_.lame_duck_time, [this] {
         stop_listening();
-        close_idle_callers();
+        close_callers_when_idle();
     });
     grace_timer_ = core_.after(options_.limits.stop_grace, [this] { abort_open_exchanges(); });
 }
 
-void relay_server::close_idle_callers()
+void relay_server::close_callers_when_idle()
 {
-    std::vector<caller_connection*> open;
     for (const auto& [key, caller_state] : callers_) {
-        open.push_back(key);
+        caller_state.connection->close_when_idle(options_.lame_duck_idle_time);
     }
-    std::size_t closed = 0;
-    std::size_t unread = 0;
-    for (caller_connection* connection : open) {
-        const bool has_input = connection->has_unread_input();
-        if (!connection->close_if_idle()) {
-            continue;
-        }
-        ++closed;
-        unread += has_input ? 1 : 0;
-    }
-    log_event(event_id::idle_callers_closed, "closed={} unread={} still_open={}", closed, unread,
-              callers_.size());
+    log_event(event_id::callers_closing, "open={} idle_ms={}", callers_.size(),
+              options_.lame_duck_idle_time.count());
 }
 
 bool relay_server::idle() const
--- a/Source/relay_server.h
+++ b/Source/relay_server.h
@@ -37,6 +37,8 @@
     // it to notice and to stop sending new connections.  Later connections are refused, so that
     // their callers use another entry at once.
     millis lame_duck_time = 2500ms;
+    // After that, connections close once they are idle for this long.
+    millis lame_duck_idle_time = 200ms;
     relay_limits limits;
     relay_exchange_options exchange;
     backend_connection_pool_options connections;
@@ -75,7 +77,7 @@
     void on_request(caller_connection& from);
     void schedule_cleanup();
     void sweep();
-    void close_idle_callers();
+    void close_callers_when_idle();
     void abort_open_exchanges();
     void stop_listening();
 
