Write the last responses before the process exits

Callers whose requests were aborted at the end of the grace period could lose the refusal: the relay was idle from that moment on, and the process left its event loop before the responses were written to the sockets.

The relay is idle after the grace period once its callers are gone, or 150 ms later.

--- a/Source/relay_server.cpp
+++ b/Source/relay_server.cpp
@@ -17,6 +17,8 @@
 // Connections waiting to be accepted.  If the backlog is full, a caller's first packet is dropped
 // and retransmitted only after a second or more.
 constexpr int listen_backlog = 1024;
+// Time to write the last responses after open requests were aborted, before the process exits.
+constexpr millis flush_time = 150ms;
 
 } // namespace
 
@@ -206,7 +208,7 @@
         return true;
     }
     const millis since = core_.now() - *stopping_since_;
-    return since >= options_.limits.stop_grace ||
+    return since >= options_.limits.stop_grace + flush_time ||
            (since >= options_.lame_duck_time && callers_.empty());
 }
 
