Accept waiting connections before the listener closes

Callers that connect while the event loop is busy wait in the listen queue. Closing the listener reset them, although the balancer had sent them here and the entry could serve them.

Evidence: the new test serves_a_connection_that_is_made_while_the_listener_closes, in which a caller connects after the event loop has looked for connections and before the timer that closes the listener, failed with the call of accept_pending taken out, and passes with it.

--- a/Source/relay_server.cpp
+++ b/Source/relay_server.cpp
@@ -6,6 +6,7 @@
 #include <event2/listener.h>
 #include <event2/util.h>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
 
 #include <stdexcept>
 
@@ -132,6 +133,17 @@
     callers_[key].connection = std::move(connection);
 }
 
+// Closing the listener would reset the connections that wait to be accepted.
+void relay_server::accept_pending()
+{
+    const evutil_socket_t listening = evconnlistener_get_fd(listener_);
+    int socket = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    while (socket >= 0) {
+        accept(socket);
+        socket = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    }
+}
+
 void relay_server::on_request(caller_connection& from)
 {
     ++core_.metrics().named("requests_taken");
@@ -187,6 +199,7 @@
         caller_state.connection->close_after_response();
     }
     lame_duck_timer_ = core_.after(options_.lame_duck_time, [this] {
+        accept_pending();
         stop_listening();
         close_callers_when_idle();
     });
--- a/Source/relay_server.h
+++ b/Source/relay_server.h
@@ -74,6 +74,7 @@
     };
 
     void accept(int socket);
+    void accept_pending();
     void on_request(caller_connection& from);
     void schedule_cleanup();
     void sweep();
--- a/Tests/Relay/relay_shutdown_test.cpp
+++ b/Tests/Relay/relay_shutdown_test.cpp
@@ -93,6 +93,20 @@
     expect_served(caller, 0);
 }
 
+// The same for a caller that connects after the event loop has looked for new connections.
+TEST_F(relay_shutdown, serves_a_connection_that_is_made_while_the_listener_closes)
+{
+    scripted_caller* caller = nullptr;
+    fleet.relay().begin_stop();
+    const kernel::timer connect = fleet.core().after(lame_duck_time - 10ms, [&] {
+        caller = &fleet.add_caller();
+        caller->send(get("/view/"));
+    });
+    block_loop(lame_duck_time + 40ms);
+    ASSERT_TRUE(fleet.wait_for([&] { return caller != nullptr; }));
+    expect_served(*caller, 0);
+}
+
 // Guards against a reset of callers whose first request is still on its way when the listener
 // closes.
 TEST_F(relay_shutdown, gives_a_new_connection_time_to_send_its_first_request)
