--- a/Source/caller_connection.cpp
+++ b/Source/caller_connection.cpp
@@ -227,7 +227,8 @@
     }
     on_disconnected = nullptr;
     on_drained = nullptr;
-    if (!keep_alive_) {
+    // A caller that was not told about the close may already have sent its next request.
+    if (close_announced_) {
         linger();
         return;
     }
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -56,6 +56,13 @@
     if (route_->timeout > 0ms) {
         deadline_ = std::min(deadline_, started_at_ + route_->timeout);
     }
+    if (!context_.can_finish(deadline_)) {
+        log_event(event_id::request_refused, "request={} status={} reason=stopping left_ms={}",
+                  metadata_.id, unavailable, time_left().count());
+        // Other entries accept the request at once.
+        refuse({.status = unavailable, .reason = "stopping", .retry_after = 0ms});
+        return;
+    }
     const millis remaining = deadline_ + context_.options.deadline_slack - context_.core.now();
     deadline_timer_ = context_.core.after(std::max(1ms, remaining), [this] { on_deadline(); });
     if (!body_.empty() && !context_.state.crashes().empty() &&
@@ -392,9 +399,14 @@
     if (status == unavailable) {
         why.retry_after = retry_after();
     }
-    status_ = status;
+    refuse(why);
+}
+
+void relay_exchange::refuse(const relay_refusal& why)
+{
+    status_ = why.status;
     caller_->refuse(why);
-    end(reason);
+    end(why.reason);
 }
 
 // Without a configuration, this entry cannot serve a retry until its source is reachable again,
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -52,6 +52,7 @@
     backend_connection_pool& connections;
     retry_budgets& retries;
     const header_codec& codec;
+    std::function<bool(millis deadline)> can_finish; // false if the process may exit before
     const relay_exchange_options& options;
 };
 
@@ -90,6 +91,7 @@
     void finish_response();
     std::uint64_t fingerprint();
     void refuse(int status, const std::string& reason);
+    void refuse(const relay_refusal& why);
     millis retry_after() const;
     void give_up(const std::string& reason);
     void on_deadline();
--- a/Source/relay_server.cpp
+++ b/Source/relay_server.cpp
@@ -20,6 +20,9 @@
 constexpr int listen_backlog = 1024;
 // Time to write the last responses after open requests were aborted, before the process exits.
 constexpr millis flush_time = 150ms;
+// Share of the grace period in which requests are accepted whatever their deadlines: most end long
+// before these, and a refusal uses up one of the caller's few attempts.
+constexpr double unconditional_share = 0.4;
 
 } // namespace
 
@@ -53,6 +56,7 @@
         .connections = connections_,
         .retries = retries_,
         .codec = codec_,
+        .can_finish = [this](millis deadline) { return can_finish(deadline); },
         .options = options_.exchange,
     });
     sockaddr_storage address{};
@@ -215,6 +219,16 @@
               options_.lame_duck_idle_time.count());
 }
 
+bool relay_server::can_finish(millis deadline) const
+{
+    if (!stopping_since_) {
+        return true;
+    }
+    const millis grace = options_.limits.stop_grace;
+    const auto unconditional = std::chrono::duration_cast<millis>(grace * unconditional_share);
+    return core_.now() < *stopping_since_ + unconditional || deadline <= *stopping_since_ + grace;
+}
+
 bool relay_server::idle() const
 {
     if (!stopping_since_) {
--- a/Source/relay_server.h
+++ b/Source/relay_server.h
@@ -79,6 +79,7 @@
     void schedule_cleanup();
     void sweep();
     void close_callers_when_idle();
+    bool can_finish(millis deadline) const;
     void abort_open_exchanges();
     void stop_listening();
 
--- a/Tests/Relay/relay_shutdown_test.cpp
+++ b/Tests/Relay/relay_shutdown_test.cpp
@@ -12,6 +12,8 @@
 protected:
     static constexpr millis lame_duck_time = 60ms;
     static constexpr millis stop_grace = 1000ms;
+    // Part of the grace period after which deadlines count.
+    static constexpr millis late = 450ms;
 
     relay_shutdown()
         : fleet({.lame_duck_time = lame_duck_time, .limits = {.stop_grace = stop_grace}}),
@@ -132,6 +134,38 @@
     EXPECT_EQ(caller.status(), 502);
 }
 
+// Guards against a response that breaks off at the end of the grace period.
+TEST_F(relay_shutdown, refuses_at_once_what_may_not_finish_before_the_exit)
+{
+    scripted_caller& caller = fleet.add_caller();
+    caller.send(get("/view/1"));
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 1; }));
+    shop.respond(0, "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nContent-Length: 10\r\n\r\nfirst");
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("first"); }));
+    fleet.relay().begin_stop();
+    fleet.run_for(late);
+    shop.respond(0, " half");
+    caller.send(get("/view/2", "Deadline-Ms: 2000\r\n"));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.status() == 503; }));
+    EXPECT_NE(caller.received().find("Retry-After: 0.000"), std::string::npos);
+    EXPECT_EQ(shop.requests(), 1U);
+}
+
+// A request that ends within the grace period is served until then.
+TEST_F(relay_shutdown, serves_what_finishes_before_the_exit)
+{
+    scripted_caller& caller = fleet.add_caller();
+    caller.send(get("/view/1"));
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 1; }));
+    shop.respond(0, "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nContent-Length: 10\r\n\r\nfirst");
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("first"); }));
+    fleet.relay().begin_stop();
+    fleet.run_for(late);
+    shop.respond(0, " half");
+    caller.send(get("/view/2", "Deadline-Ms: 400\r\n"));
+    expect_served(caller, 1);
+}
+
 TEST_F(relay_shutdown, closes_idle_connections_after_the_listener)
 {
     scripted_caller& caller = add_idle_caller();
