Count the time for last responses from the abort, not from the stop

The 150 ms in which refusals are written began at the end of the grace period by the clock. An event loop that was busy at that moment aborted the requests later and left no time: callers lost the refusal as before. The time now counts from the abort itself.

--- a/Source/relay_server.cpp
+++ b/Source/relay_server.cpp
@@ -194,6 +194,7 @@
     for (relay_exchange* exchange : open) {
         exchange->abort("stopped");
     }
+    aborted_at_ = core_.now();
 }
 
 void relay_server::begin_stop()
@@ -234,9 +235,10 @@
     if (!stopping_since_) {
         return true;
     }
-    const millis since = core_.now() - *stopping_since_;
-    return since >= options_.limits.stop_grace + flush_time ||
-           (since >= options_.lame_duck_time && callers_.empty());
+    if (aborted_at_ && core_.now() >= *aborted_at_ + flush_time) {
+        return true;
+    }
+    return core_.now() - *stopping_since_ >= options_.lame_duck_time && callers_.empty();
 }
 
 nlohmann::json relay_server::describe() const
--- a/Tests/Relay/relay_shutdown_test.cpp
+++ b/Tests/Relay/relay_shutdown_test.cpp
@@ -2,6 +2,7 @@
 
 #include "relay_harness.h"
 
+#include <event2/event.h>
 #include <gtest/gtest.h>
 
 using namespace cyclamen;
@@ -11,12 +12,15 @@
 class relay_shutdown : public testing::Test {
 protected:
     static constexpr millis lame_duck_time = 60ms;
-    static constexpr millis stop_grace = 1000ms;
+    static constexpr millis lame_duck_idle_time = 2000ms;
+    static constexpr millis stop_grace = 3000ms;
     // Part of the grace period after which deadlines count.
-    static constexpr millis late = 450ms;
+    static constexpr millis late = 1250ms;
 
     relay_shutdown()
-        : fleet({.lame_duck_time = lame_duck_time, .limits = {.stop_grace = stop_grace}}),
+        : fleet({.lame_duck_time = lame_duck_time,
+                 .lame_duck_idle_time = lame_duck_idle_time,
+                 .limits = {.stop_grace = stop_grace}}),
           shop(fleet.add_backend("s1"))
     {
         fleet.configure(relay_harness::configuration());
@@ -129,8 +133,15 @@
     caller.send(get("/view/"));
     ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 1; }));
     fleet.relay().begin_stop();
-    ASSERT_TRUE(fleet.wait_for([&] { return fleet.relay().idle(); }));
-    caller.poll(); // the event loop does not run again, as if the process had exited
+    bool exited = false;
+    const kernel::timer idle_check = fleet.core().every(20ms, [&] {
+        if (fleet.relay().idle()) {
+            exited = true;
+            event_base_loopbreak(fleet.core().loop());
+        }
+    });
+    block_loop(stop_grace + 20ms);
+    ASSERT_TRUE(fleet.wait_for([&] { return exited; }));
     EXPECT_EQ(caller.status(), 502);
 }
 
@@ -145,7 +156,7 @@
     fleet.relay().begin_stop();
     fleet.run_for(late);
     shop.respond(0, " half");
-    caller.send(get("/view/2", "Deadline-Ms: 2000\r\n"));
+    caller.send(get("/view/2", "Deadline-Ms: 2900\r\n"));
     ASSERT_TRUE(fleet.wait_for([&] { return caller.status() == 503; }));
     EXPECT_NE(caller.received().find("Retry-After: 0.000"), std::string::npos);
     EXPECT_EQ(shop.requests(), 1U);
@@ -162,7 +173,7 @@
     fleet.relay().begin_stop();
     fleet.run_for(late);
     shop.respond(0, " half");
-    caller.send(get("/view/2", "Deadline-Ms: 400\r\n"));
+    caller.send(get("/view/2", "Deadline-Ms: 1500\r\n"));
     expect_served(caller, 1);
 }
 
