Let an agent stop only when each entry awaits nothing of it

Callers of a service whose agent was restarted gracefully got 502 `unknown` for payments without an idempotency key. Keyed and idempotent requests were retried, at the cost of the retry budget.

The agent exited as soon as its own jobs had ended (`open_jobs() == 0`, asked by a timer). At that moment a dispatch may be unread in its socket, and a refusal or the end of a failed run may be unsent: sockets close without linger. The entry then met another incarnation at that address, and had to count the request as lost.

The agent now announces the stop to each connected entry (`farewell`), also to those that connect later, and repeats it. An entry sends that process no more dispatches, and replies once it awaits no outcome of it. Messages of a link are in order, so with the reply the agent has read every dispatch and the entry has received every last message; no linger is needed. Entries that disconnected are not awaited.

The fleet test now prints each failed call with its status, its body and the logs of the fleet.

--- a/Source/agent_link.cpp
+++ b/Source/agent_link.cpp
@@ -16,6 +16,7 @@
 {
     ++connections_;
     welcomed_ = false;
+    stopping_ = false;
     connect_started_ = core_.now();
     last_seen_ = connect_started_;
     last_used_ = connect_started_;
--- a/Source/agent_link.h
+++ b/Source/agent_link.h
@@ -53,6 +53,9 @@
     void reconnect() { connect(); }
 
     bool welcomed() const { return welcomed_; }
+    /// The agent has announced that it shuts down, so it gets no more requests on this connection.
+    bool stopping() const { return stopping_; }
+    void set_stopping() { stopping_ = true; }
     std::uint64_t agent_incarnation() const { return agent_incarnation_; }
     const std::string& instance() const { return instance_; }
     const std::string& address() const { return address_; }
@@ -73,6 +76,7 @@
     // Replaced sockets, whose callbacks may still be running; freed at the next tick.
     std::vector<std::unique_ptr<message_socket>> retired_;
     bool welcomed_ = false;
+    bool stopping_ = false;
     std::uint64_t agent_incarnation_ = 0;
     millis connect_started_{0};
     millis hello_sent_at_{0};
--- a/Source/agent_links.cpp
+++ b/Source/agent_links.cpp
@@ -28,6 +28,12 @@
     return listed == nullptr ? nullptr : open(instance, listed->address);
 }
 
+agent_link* agent_links::find(const std::string& instance) const
+{
+    const auto found = links_.find(instance);
+    return found == links_.end() ? nullptr : found->second.get();
+}
+
 agent_link* agent_links::open(const std::string& instance, const std::string& address)
 {
     ++core_.metrics().named("links_opened");
--- a/Source/agent_links.h
+++ b/Source/agent_links.h
@@ -38,6 +38,8 @@
     /// Returns the link to an agent, opening it if necessary.  Returns null if no link is open
     /// and the directory does not list the agent.
     agent_link* find_or_open(const instance_directory& directory, const std::string& instance);
+    /// Returns the open link to an agent, or null.
+    agent_link* find(const std::string& instance) const;
     /// Returns the open link to an agent; throws std::out_of_range if there is none.
     agent_link& at(const std::string& instance) { return *links_.at(instance); }
     /// Runs the heartbeat and timeout checks of the links in use and closes idle links.
--- a/Source/agent_server.cpp
+++ b/Source/agent_server.cpp
@@ -86,6 +86,8 @@
     options_.core.incarnation = core_.incarnation();
     agent_core_ = std::make_unique<agent_core>(options_.core, configuration_->state(),
                                                core_.metrics(), make_hooks());
+    farewells_ = std::make_unique<entry_farewells>(
+        options_.farewells, [this](const std::string& route) { return send_farewell(route); });
     runner_ = std::make_unique<backend_runner>(
         core_, options_.backend,
         backend_runner::handlers{
@@ -104,17 +106,34 @@
         on_message(route, message);
     });
     directory_->changed.connect([this] { update_from_directory(); });
-    tick_ = core_.every(tick_interval, [this] { agent_core_->on_tick(core_.now()); });
+    tick_ = core_.every(tick_interval, [this] { tick(); });
     crash_timer_ = core_.every(options_.crash_gossip_interval, [this] { gossip_past_crash(); });
     probe_backend();
 }
 
+bool agent_server::send_farewell(const std::string& route)
+{
+    wire::envelope message;
+    message.mutable_farewell()->set_agent_incarnation(core_.incarnation());
+    return peers_->reply(route, std::move(message));
+}
+
+void agent_server::tick()
+{
+    agent_core_->on_tick(core_.now());
+    farewells_->on_tick(agent_core_->open_jobs() > 0);
+}
+
 void agent_server::on_message(const std::string& route, const wire::envelope& message)
 {
     const millis now = core_.now();
     switch (message.body_case()) {
     case wire::envelope::kHello:
         agent_core_->on_hello(route, message.hello(), now);
+        farewells_->on_hello(message.hello().instance(), route);
+        return;
+    case wire::envelope::kFarewell:
+        farewells_->on_reply(route);
         return;
     case wire::envelope::kDispatch:
         agent_core_->on_dispatch(route, message.dispatch(), now);
@@ -243,16 +262,19 @@
 void agent_server::begin_stop()
 {
     agent_core_->begin_stop();
+    farewells_->begin_stop();
 }
 
 bool agent_server::idle() const
 {
-    return agent_core_->open_jobs() == 0;
+    return agent_core_->open_jobs() == 0 && farewells_->done();
 }
 
 nlohmann::json agent_server::describe() const
 {
-    return agent_core_->describe(core_.now());
+    nlohmann::json section = agent_core_->describe(core_.now());
+    section["farewells_awaited"] = farewells_->awaited();
+    return section;
 }
 
 } // namespace cyclamen
--- a/Source/agent_server.h
+++ b/Source/agent_server.h
@@ -2,6 +2,7 @@
 
 #include "agent_core.h"
 #include "backend_runner.h"
+#include "entry_farewells.h"
 #include "kernel.h"
 #include "service.h"
 
@@ -20,6 +21,7 @@
 
 struct agent_server_options {
     agent_core_options core{};
+    entry_farewells_options farewells{};
     backend_runner_options backend{};
     bool keyed = false;                   // claims idempotency keys; set for plain services
     millis health_interval = 300ms;       // interval of health probes of the backend server
@@ -59,6 +61,8 @@
     void gossip_crash_report(const wire::crash_report& report);
     void gossip_past_crash();
     agent_core::hooks make_hooks();
+    bool send_farewell(const std::string& route);
+    void tick();
 
     kernel& core_;
     agent_server_options options_;
@@ -68,6 +72,7 @@
     claim_service* claims_ = nullptr;
     std::unique_ptr<backend_runner> runner_;
     std::unique_ptr<agent_core> agent_core_;
+    std::unique_ptr<entry_farewells> farewells_;
     kernel::timer tick_;
     kernel::timer health_timer_;
     kernel::timer crash_timer_;
--- a/Source/entry_dispatcher.cpp
+++ b/Source/entry_dispatcher.cpp
@@ -158,7 +158,7 @@
     open.answer = answer_assembler();
     open.acknowledged = 0;
     agent_link* link = links_.find_or_open(*directory_, open.attempts->agent());
-    if (link == nullptr) {
+    if (link == nullptr || link->stopping()) {
         execute(sequence, open.attempts->not_sent(open.attempts->attempt(), core_.now()));
         return;
     }
@@ -218,6 +218,9 @@
     case wire::envelope::kFenceReply:
         on_fence_reply(message.fence_reply());
         return;
+    case wire::envelope::kFarewell:
+        on_farewell(instance, message.farewell());
+        return;
     case wire::envelope::kConfigurationUpdate: {
         const auto answer = configuration_->on_update(message.configuration_update());
         agent_link* link = links_.find_or_open(*directory_, instance);
@@ -368,6 +371,24 @@
     }
 }
 
+// Replies once no outcome is awaited of the agent.  The agent repeats its farewell until then.
+void entry_dispatcher::on_farewell(const std::string& instance, const wire::farewell& message)
+{
+    agent_link* link = links_.find(instance);
+    if (link == nullptr || !link->welcomed() ||
+        link->agent_incarnation() != message.agent_incarnation()) {
+        return;
+    }
+    link->set_stopping();
+    ranking_.avoid(instance, core_.now() + options_.avoid_duration);
+    if (!open_requests_at(instance).empty()) {
+        return;
+    }
+    wire::envelope reply;
+    *reply.mutable_farewell() = message;
+    link->send(std::move(reply));
+}
+
 void entry_dispatcher::on_link_welcome(const std::string& instance, bool same_incarnation)
 {
     agent_link& link = links_.at(instance);
--- a/Source/entry_dispatcher.h
+++ b/Source/entry_dispatcher.h
@@ -131,6 +131,7 @@
     void on_verdict(const std::string& instance, const wire::verdict& message);
     void on_answer_part(const wire::answer_part& message);
     void on_fence_reply(const wire::fence_reply& message);
+    void on_farewell(const std::string& instance, const wire::farewell& message);
     bool should_give_up(open_request& open) const;
     void tick();
     open_request* find_open_attempt(const wire::request_id& id, unsigned attempt);
--- a/Tests/Proofs/chats_fleet_test.cpp
+++ b/Tests/Proofs/chats_fleet_test.cpp
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <csignal>
+#include <mutex>
 #include <thread>
 
 using namespace cyclamen::test;
@@ -390,7 +391,8 @@
     local_fleet fleet({});
     std::atomic<bool> stopped{false};
     std::atomic<unsigned> answered{0};
-    std::atomic<unsigned> failed{0};
+    std::mutex failures_mutex;
+    std::vector<std::string> failures;
     std::vector<std::thread> threads;
     for (unsigned number = 0; number < 6; ++number) {
         threads.emplace_back([&, number] {
@@ -399,7 +401,14 @@
                 const std::string key =
                     count % 2 == 0 ? fmt::format("jar-{}-{}", number, count) : std::string();
                 const call_result response = fleet.pay(number % 2, key, "pay", 10000);
-                ++(response.status == 200 ? answered : failed);
+                if (response.status == 200) {
+                    ++answered;
+                    continue;
+                }
+                const std::scoped_lock lock(failures_mutex);
+                failures.push_back(fmt::format(
+                    "entry-{} number={} count={} key='{}': status={} body={}", number % 2 + 1,
+                    number, count, key, response.status, response.body));
             }
         });
     }
@@ -416,5 +425,6 @@
     for (std::thread& thread : threads) {
         thread.join();
     }
-    EXPECT_EQ(failed, 0U);
+    EXPECT_TRUE(failures.empty()) << fmt::format("{}", fmt::join(failures, "\n")) << "\n"
+                                  << fleet.logs();
 }
