Use a connection that was made before its time-out was handled

Callers got 503 although a server was ready: the entry took it for unreachable, kept requests from it for the backoff of 200 ms to 2 s, and treated it as cold for 2.5 s.

Cause: the event loop was busy for longer than the connect time-out of 250 ms. libevent 2.1.12 then drops the completion of the connect, reports only the time-out and reports the completion afterwards, when the connection has been closed.

At the time-out, the socket itself is now asked. If the connect has ended, its result is awaited without a time limit: the next iteration reports it, success or refusal.

Evidence: relay_paused_loop.uses_a_connection_that_was_made_before_its_timeout_was_handled failed before (503, server in backoff) and passes now.

--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -8,6 +8,7 @@
 #include <event2/event.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -248,9 +249,25 @@
         static_cast<state*>(user)->read();
     }
 
+    // libevent discards the completion of a connect that has also timed out. Then waits for the
+    // completion to be reported again, without a time limit.
+    bool resume_connect() const
+    {
+        pollfd status{.fd = bufferevent_getfd(channel), .events = POLLOUT, .revents = 0};
+        if (::poll(&status, 1, 0) <= 0) {
+            return false;
+        }
+        bufferevent_enable(channel, EV_WRITE);
+        bufferevent_set_timeouts(channel, nullptr, nullptr);
+        return true;
+    }
+
     static void event(bufferevent* /*channel*/, short what, void* user)
     {
         auto* self = static_cast<state*>(user);
+        if ((what & BEV_EVENT_TIMEOUT) != 0 && !self->connected && self->resume_connect()) {
+            return;
+        }
         if ((what & BEV_EVENT_CONNECTED) == 0) {
             self->on_disconnected(what);
             return;
--- /dev/null
+++ b/Tests/Relay/relay_paused_loop_test.cpp
@@ -0,0 +1,101 @@
+// Tests that news from backend servers and other sources, which arrives while the event loop is
+// busy, is not overtaken by timers that expire in the meantime.
+
+#include "client_connection.h"
+#include "http_client.h"
+#include "metadata_store.h"
+#include "relay_harness.h"
+
+#include <event2/event.h>
+#include <gtest/gtest.h>
+
+using namespace cyclamen;
+
+namespace {
+
+class relay_paused_loop : public testing::Test {
+protected:
+    static constexpr millis stop_grace = 300ms;
+    static constexpr std::size_t max_unsent = 1000;
+    // Longer than the timeout of /brief/ with the time that the relay adds to it.
+    static constexpr millis past_deadline = 400ms;
+
+    relay_paused_loop()
+        : fleet({.lame_duck_time = 60ms,
+                 .limits = {.stop_grace = stop_grace},
+                 .exchange = {.max_unsent = max_unsent}}),
+          shop(fleet.add_backend("s1"))
+    {
+        fleet.configure(relay_harness::configuration());
+    }
+
+    // Keeps the event loop from running for `time`, like a long computation does.
+    void block_loop(millis time)
+    {
+        const millis until = fleet.core().now() + time;
+        while (fleet.core().now() < until) {
+            // busy
+        }
+    }
+
+    // Opens a connection that stays open after its first response.
+    scripted_caller& add_idle_caller()
+    {
+        scripted_caller& caller = fleet.add_caller();
+        caller.send(get("/none/"));
+        EXPECT_TRUE(fleet.wait_for([&] { return caller.status() == 404; }));
+        return caller;
+    }
+
+    // Sends a request and waits until the backend server has received it.
+    scripted_caller& send_request(const std::string& text)
+    {
+        scripted_caller& caller = fleet.add_caller();
+        const std::size_t before = shop.requests();
+        caller.send(text);
+        EXPECT_TRUE(fleet.wait_for([&] { return shop.requests() > before; }));
+        return caller;
+    }
+
+    void expect_status(scripted_caller& caller, int status)
+    {
+        EXPECT_TRUE(fleet.wait_for([&] { return caller.status() != 0 || caller.ended(); }));
+        EXPECT_EQ(caller.status(), status);
+    }
+
+    std::uint64_t connections_opened()
+    {
+        return fleet.core().metrics().named("backend_connections_opened");
+    }
+
+    static void block_after_connecting(evutil_socket_t /*socket*/, short /*what*/, void* user)
+    {
+        auto* test = static_cast<relay_paused_loop*>(user);
+        EXPECT_EQ(test->connections_opened(), 1U);
+        test->block_loop(past_deadline);
+    }
+
+    relay_harness fleet;
+    scripted_backend& shop;
+};
+
+} // namespace
+
+// Guards against a server that counts as unreachable although it had accepted the connection:
+// libevent reports only the time-out of a connect that has both completed and timed out.
+TEST_F(relay_paused_loop, uses_a_connection_that_was_made_before_its_timeout_was_handled)
+{
+    scripted_caller& caller = add_idle_caller();
+    caller.send(get("/view/"));
+    // Blocks behind the callback that parses the request and connects, in the same iteration.
+    const kernel::timer block = fleet.core().after(0ms, [&] {
+        event_base_once(fleet.core().loop(), -1, EV_TIMEOUT,
+                        &relay_paused_loop::block_after_connecting, this, nullptr);
+    });
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 1 || caller.status() != 404; }));
+    EXPECT_EQ(connections_opened(), 1U);
+    EXPECT_FALSE(fleet.state().backends().find("s1")->health.in_backoff(fleet.core().now()));
+    ASSERT_EQ(shop.requests(), 1U);
+    shop.respond(0, response_of("q1", "ready"));
+    EXPECT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("ready"); }));
+}
