Count a request's time from its start, not from the start of the loop's iteration

Callers got 504 at once, for requests that no server had received, when their request was parsed in the same iteration of the event loop as a long computation, such as taking a configuration over.

Cause: libevent adds timers to the time at which the iteration began. After a callback of 400 ms, the timer of a request with 270 ms left expired in the next iteration, and so did the time-out of its connect.

The cached time is now refreshed before both timers are set.

Evidence: relay_paused_loop.gives_a_request_its_whole_time_after_a_long_callback failed before (the server received no request) and passes now. The test decides for the deadline; on loopback a connect completes before its shortened time-out is looked at, so that line has no test of its own.

--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -76,6 +76,8 @@
     {
         channel = bufferevent_socket_new(loop, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
         bufferevent_setcb(channel, &state::readable, nullptr, &state::event, this);
+        // Otherwise the time limit counts from the start of the loop's iteration.
+        event_base_update_cache_time(loop);
         const timeval limit = to_timeval(options.connect_timeout);
         bufferevent_set_timeouts(channel, nullptr, &limit);
         sockaddr_storage address{};
--- a/Tests/Relay/relay_paused_loop_test.cpp
+++ b/Tests/Relay/relay_paused_loop_test.cpp
@@ -99,3 +99,17 @@
     shop.respond(0, response_of("q1", "ready"));
     EXPECT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("ready"); }));
 }
+
+// Guards against timers that begin in the past: libevent counts them from the time at which the
+// iteration began, so a long callback earlier in the same iteration used the time up.
+TEST_F(relay_paused_loop, gives_a_request_its_whole_time_after_a_long_callback)
+{
+    scripted_caller& caller = add_idle_caller();
+    caller.send(get("/brief/"));
+    const kernel::timer callback = fleet.core().after(0ms, [&] { block_loop(past_deadline); });
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 1 || caller.status() != 404; }));
+    ASSERT_EQ(shop.requests(), 1U);
+    shop.respond(0, response_of("q1", "ready"));
+    EXPECT_TRUE(fleet.wait_for([&] { return caller.status() != 404; }));
+    EXPECT_EQ(caller.status(), 200);
+}
