Read again on a connection whose last response outran its caller

Callers got 504 from a healthy server: the response to their request was never read.

Cause: when the last part of a response found more than max_unsent bytes waiting for a slow caller, reading from the server was paused and the response was complete at the same time. The connection went back to the pool with reading paused, and nothing resumed it for the next request.

Reading is resumed when the response is complete.

Evidence: relay_paused_loop.reads_the_next_response_on_a_connection_that_was_paused failed before (no response within 5 s) and passes now.

--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -192,6 +192,10 @@
                                                // request was sent
             close();
         }
+        else if (paused) { // the response has arrived whole, only its consumer is slow
+            paused = false;
+            bufferevent_enable(channel, EV_READ);
+        }
         finish(http_call_result::complete);
     }
 
--- a/Tests/Relay/relay_paused_loop_test.cpp
+++ b/Tests/Relay/relay_paused_loop_test.cpp
@@ -113,3 +113,17 @@
     EXPECT_TRUE(fleet.wait_for([&] { return caller.status() != 404; }));
     EXPECT_EQ(caller.status(), 200);
 }
+
+// Guards against a 504 for the next request on a connection: it was reused with reading still
+// paused, because the caller of the previous response had been slow.
+TEST_F(relay_paused_loop, reads_the_next_response_on_a_connection_that_was_paused)
+{
+    scripted_caller& caller = send_request(get("/view/"));
+    shop.respond(0, response_of("q1", std::string(2 * max_unsent, 'x') + "first"));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("first"); }));
+    caller.send(get("/view/"));
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 2; }));
+    ASSERT_EQ(connections_opened(), 1U);
+    shop.respond(1, response_of("q1", "second"));
+    EXPECT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("second"); }));
+}
