Check for the end of an idle connection before reusing it

Callers of unsafe requests got 502, outcome unknown, for requests that no server had received.

Cause: the server closed an idle connection while the event loop was busy. The request and the end of the connection were then seen together, and the request was sent on the ended connection.

A connection now counts as reusable only after a look at its buffer and its socket.

Evidence: relay_paused_loop.does_not_reuse_a_connection_whose_end_has_arrived failed before (the server received no second request) and passes now.

--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 
 namespace cyclamen {
@@ -183,6 +184,16 @@
         }
     }
 
+    // Whether the server has closed the connection or sent bytes that the event loop has not yet
+    // handled.
+    bool input_waiting() const
+    {
+        char byte = 0;
+        return evbuffer_get_length(bufferevent_get_input(channel)) > 0 ||
+               recv(bufferevent_getfd(channel), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+               (errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
     void completed()
     {
         const bool unread_or_unsent =
@@ -351,7 +362,7 @@
 
 bool client_connection::reusable() const
 {
-    return !state_->closed && !state_->call_open && state_->connected;
+    return !state_->closed && !state_->call_open && state_->connected && !state_->input_waiting();
 }
 
 std::optional<millis> client_connection::keep_alive_timeout() const
--- a/Source/client_connection.h
+++ b/Source/client_connection.h
@@ -55,7 +55,8 @@
     /// buffering.
     void pause_reading(bool paused);
 
-    /// True if the connection is established and no call is in progress.
+    /// True if the connection is established, no call is in progress, and neither unexpected bytes
+    /// nor the end of the connection have arrived.
     bool reusable() const;
     /// Timeout of the server's Keep-Alive header, if it sent one.
     std::optional<millis> keep_alive_timeout() const;
--- a/Tests/Relay/relay_paused_loop_test.cpp
+++ b/Tests/Relay/relay_paused_loop_test.cpp
@@ -114,6 +114,22 @@
     EXPECT_EQ(caller.status(), 200);
 }
 
+// Guards against an unknown outcome of an unsafe request: it was sent on an idle connection whose
+// end had arrived.
+TEST_F(relay_paused_loop, does_not_reuse_a_connection_whose_end_has_arrived)
+{
+    scripted_caller& first = send_request(get("/view/"));
+    scripted_caller& second = add_idle_caller();
+    shop.respond(0, response_of("q1", "ready"));
+    expect_status(first, 200);
+    second.send(post("/pay/", "body"));
+    shop.close(0);
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 2 || second.status() != 404; }));
+    ASSERT_EQ(shop.requests(), 2U);
+    shop.respond(1, response_of("q1", "paid"));
+    EXPECT_TRUE(fleet.wait_for([&] { return second.received().ends_with("paid"); }));
+}
+
 // Guards against a 504 for the next request on a connection: it was reused with reading still
 // paused, because the caller of the previous response had been slow.
 TEST_F(relay_paused_loop, reads_the_next_response_on_a_connection_that_was_paused)
