Deliver a response that arrived before its deadline was handled

Callers got 504 at their deadline, or 502 at the end of the grace period of a stopping entry, although the whole response had arrived.

Cause: after a busy period the event loop runs expired timers before it hands over input, and these timers gave the response up.

Both now first handle what has arrived on the server's connection, bounded by what was in the socket at that moment. A response that is not complete is not begun, so its caller still gets the refusal; no further attempt is made.

--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -59,6 +60,8 @@
     bool keep_alive = true;
     bool no_body = false; // the current call is a HEAD request
     bool paused = false;
+    bool ignore_pause = false; // while `read_arrived` runs
+    unsigned calls = 0;        // number of calls made on this connection
     std::optional<millis> keep_alive_timeout;
     std::function<void()> on_idle_closed;
 
@@ -150,7 +153,7 @@
     void read()
     {
         const std::shared_ptr<state> hold = shared_from_this();
-        while (channel != nullptr && !paused) {
+        while (channel != nullptr && (!paused || ignore_pause)) {
             evbuffer* input = bufferevent_get_input(channel);
             const std::size_t length = evbuffer_get_contiguous_space(input);
             if (length == 0) {
@@ -194,6 +197,38 @@
                (errno != EAGAIN && errno != EWOULDBLOCK);
     }
 
+    // Parses what has been read and what is in the socket at this moment.
+    void read_arrived()
+    {
+        const std::shared_ptr<state> hold = shared_from_this();
+        const unsigned call = calls;
+        const auto reading = [&] { return call_open && calls == call && channel != nullptr; };
+        if (!reading() || !connected) {
+            return;
+        }
+        int waiting = 0;
+        static_cast<void>(ioctl(bufferevent_getfd(channel), FIONREAD, &waiting));
+        ignore_pause = true;
+        read();
+        while (reading() && waiting > 0) {
+            evbuffer* input = bufferevent_get_input(channel);
+            evbuffer_unfreeze(input, 0); // a bufferevent lets only itself add input
+            const int count = evbuffer_read(input, bufferevent_getfd(channel), waiting);
+            evbuffer_freeze(input, 0);
+            if (count <= 0) {
+                break;
+            }
+            waiting -= count;
+            read();
+        }
+        ignore_pause = false;
+        char byte = 0;
+        if (reading() &&
+            recv(bufferevent_getfd(channel), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) == 0) {
+            on_disconnected(BEV_EVENT_EOF | BEV_EVENT_READING);
+        }
+    }
+
     void completed()
     {
         const bool unread_or_unsent =
@@ -317,6 +352,7 @@
     self.on_idle_closed = on_idle_closed;
     self.receivers = std::move(receivers);
     self.call_open = true;
+    ++self.calls;
     self.response_started = false;
     self.skipping_response = false;
     self.no_body = head.method == "HEAD";
@@ -360,6 +396,12 @@
     bufferevent_trigger(self.channel, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
 
+void client_connection::read_arrived()
+{
+    const std::shared_ptr<state> held = state_; // a handler may destroy this connection
+    held->read_arrived();
+}
+
 bool client_connection::reusable() const
 {
     return !state_->closed && !state_->call_open && state_->connected && !state_->input_waiting();
--- a/Source/client_connection.h
+++ b/Source/client_connection.h
@@ -55,6 +55,11 @@
     /// buffering.
     void pause_reading(bool paused);
 
+    /// Handles response bytes that have arrived, also while reading is paused. To be called before
+    /// a timer gives the response up: after a busy period, the event loop runs expired timers
+    /// before it hands over input. May call the handlers, also `on_end`.
+    void read_arrived();
+
     /// True if the connection is established, no call is in progress, and neither unexpected bytes
     /// nor the end of the connection have arrived.
     bool reusable() const;
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -278,7 +278,7 @@
         failure_ = attempt_outcome::lost; // this response does not continue the event stream
         return true;
     }
-    if (failed && attempts_->repeatable()) {
+    if (failed && attempts_->repeatable() && !last_look_) {
         const attempt_action step = attempts_->next_action(attempt_outcome::failed);
         if (step == attempt_action::retry) {
             failure_ = attempt_outcome::failed;
@@ -296,6 +296,15 @@
     if (response_head_sent_) {
         return;
     }
+    if (last_look_) {
+        held_head_ = head;
+        return;
+    }
+    send_response_head(head);
+}
+
+void relay_exchange::send_response_head(const http_head& head)
+{
     http_head response = head;
     remove_hop_by_hop_headers(response, {});
     if (mode_ == body_mode::events && route_->resumable) {
@@ -314,6 +323,10 @@
     if (ready.empty()) {
         return;
     }
+    if (held_head_) {
+        held_body_.append(ready);
+        return;
+    }
     if (!first_byte_seen_) {
         first_byte_seen_ = true;
         context_.core.latency("first_byte_ms").observe(context_.core.now() - started_at_);
@@ -367,7 +380,7 @@
     const attempt_action step = outcome == attempt_outcome::failed
                                     ? attempt_action::retry
                                     : attempts_->next_action(outcome);
-    if (step == attempt_action::retry && time_left() > 0ms) {
+    if (step == attempt_action::retry && time_left() > 0ms && !last_look_) {
         attempt();
         return;
     }
@@ -376,6 +389,10 @@
 
 void relay_exchange::finish_response()
 {
+    if (held_head_) {
+        send_response_head(*held_head_);
+        caller_->write(held_body_);
+    }
     if (mode_ == body_mode::events) {
         caller_->write(events_.partial());
     }
@@ -445,8 +462,20 @@
     refuse(attempts_ != nullptr && attempts_->may_have_run() ? bad_gateway : unavailable, reason);
 }
 
+bool relay_exchange::deliver_arrived_response()
+{
+    last_look_ = true;
+    if (connection_ != nullptr) {
+        connection_->read_arrived();
+    }
+    return ended_;
+}
+
 void relay_exchange::on_deadline()
 {
+    if (deliver_arrived_response()) {
+        return;
+    }
     const bool open = connection_ != nullptr;
     release_call(true);
     if (response_head_sent_) {
@@ -465,6 +494,9 @@
 
 void relay_exchange::abort(const std::string& why)
 {
+    if (deliver_arrived_response()) {
+        return;
+    }
     const bool open = connection_ != nullptr;
     release_call(true);
     if (response_head_sent_) {
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -85,6 +85,7 @@
     void send(const backend_choice& choice);
     bool on_response_head(const http_head& head);
     void begin_caller_response(const http_head& head);
+    void send_response_head(const http_head& head);
     void on_response_body(std::string_view data);
     void on_call_end(http_call_result end);
     void handle_failed_attempt(attempt_outcome end);
@@ -94,6 +95,8 @@
     void refuse(const relay_refusal& why);
     millis retry_after() const;
     void give_up(const std::string& reason);
+    // Delivers a response that has arrived whole; returns whether that ended the exchange.
+    bool deliver_arrived_response();
     void on_deadline();
     void on_caller_disconnect();
     // Ends the call to the backend server: returns its connection to the pool, or closes it if
@@ -135,6 +138,9 @@
     bool first_byte_seen_ = false;
     int status_ = 0; // status sent to the caller; 0 before that
     bool ended_ = false;
+    bool last_look_ = false; // makes no further attempt, begins no response that is not complete
+    std::optional<http_head> held_head_; // of a response that arrives during the last look
+    std::string held_body_;
 };
 
 } // namespace cyclamen
--- a/Tests/Relay/relay_paused_loop_test.cpp
+++ b/Tests/Relay/relay_paused_loop_test.cpp
@@ -81,6 +81,71 @@
 
 } // namespace
 
+// Guards against a 504 in place of a response that had arrived when the deadline was handled.
+TEST_F(relay_paused_loop, delivers_a_response_that_arrived_before_its_deadline_was_handled)
+{
+    scripted_caller& caller = send_request(get("/brief/"));
+    shop.respond(0, response_of("q1", "ready"));
+    block_loop(past_deadline);
+    expect_status(caller, 200);
+    EXPECT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("ready"); }));
+}
+
+// The same for a response that takes several reads and ends with its connection.
+TEST_F(relay_paused_loop, delivers_a_long_response_that_ends_with_its_connection)
+{
+    scripted_caller& caller = send_request(get("/brief/"));
+    shop.respond(0, "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\n\r\n" + std::string(60000, 'x') + "end");
+    shop.close(0);
+    block_loop(past_deadline);
+    expect_status(caller, 200);
+    EXPECT_TRUE(fleet.wait_for([&] { return caller.received().find("end") != std::string::npos; }));
+}
+
+// The caller gets a clean refusal, and not the beginning of a response that is then broken off.
+TEST_F(relay_paused_loop, refuses_at_the_deadline_if_only_a_part_of_the_response_has_arrived)
+{
+    scripted_caller& caller = send_request(get("/brief/"));
+    shop.respond(0, "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nContent-Length: 10\r\n\r\nfirst");
+    block_loop(past_deadline);
+    expect_status(caller, 504);
+    EXPECT_EQ(caller.received().find("first"), std::string::npos);
+}
+
+// A response that has not arrived is refused in time.
+TEST_F(relay_paused_loop, refuses_at_the_deadline_if_no_response_has_arrived)
+{
+    scripted_caller& caller = send_request(get("/brief/"));
+    block_loop(past_deadline);
+    expect_status(caller, 504);
+}
+
+// Guards against a 502 in place of a response that had arrived at the end of the grace period.
+TEST_F(relay_paused_loop, delivers_a_response_that_arrived_before_the_end_of_the_grace_period)
+{
+    scripted_caller& caller = send_request(get("/view/"));
+    fleet.relay().begin_stop();
+    shop.respond(0, response_of("q1", "ready"));
+    block_loop(stop_grace + 50ms);
+    expect_status(caller, 200);
+    EXPECT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("ready"); }));
+}
+
+// Guards against a second run: what arrives at the end of the grace period starts no new attempt.
+TEST_F(relay_paused_loop, starts_no_attempt_at_the_end_of_the_grace_period)
+{
+    scripted_backend& other = fleet.add_backend("s2");
+    scripted_caller& caller = fleet.add_caller();
+    caller.send(get("/view/"));
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() + other.requests() == 1; }));
+    const std::uint64_t opened = connections_opened();
+    fleet.relay().begin_stop();
+    (shop.requests() == 1 ? shop : other).respond(0, response_of("q1", "failed", 500));
+    block_loop(stop_grace + 50ms);
+    expect_status(caller, 500);
+    EXPECT_EQ(connections_opened(), opened);
+}
+
 // Guards against a server that counts as unreachable although it had accepted the connection:
 // libevent reports only the time-out of a connect that has both completed and timed out.
 TEST_F(relay_paused_loop, uses_a_connection_that_was_made_before_its_timeout_was_handled)
