--- a/Tests/Relay/relay_paused_loop_test.cpp
+++ b/Tests/Relay/relay_paused_loop_test.cpp
@@ -208,3 +208,19 @@
     shop.respond(1, response_of("q1", "second"));
     EXPECT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("second"); }));
 }
+
+// Guards against a belief that the store does not answer, from an answer that had arrived.
+TEST_F(relay_paused_loop, uses_a_page_that_arrived_before_its_timeout_was_handled)
+{
+    scripted_backend& server = fleet.add_backend("store", "store");
+    platform::metadata_store store(
+        fleet.core(),
+        {.address = {.host = "127.0.0.1", .port = server.port()}, .response_timeout = 300ms});
+    std::optional<log_call_status> end;
+    store.list_newest("topic", {}, [&](const keyed_log_page& page) { end = page.end; });
+    ASSERT_TRUE(fleet.wait_for([&] { return server.requests() == 1; }));
+    server.respond(0, response_of("", R"({"EndOffset":0,"Entries":[],"HasMore":false})"));
+    block_loop(past_deadline);
+    ASSERT_TRUE(fleet.wait_for([&] { return end.has_value(); }));
+    EXPECT_EQ(*end, log_call_status::answered);
+}
