--- a/Tests/Relay/relay_harness.cpp
+++ b/Tests/Relay/relay_harness.cpp
@@ -169,6 +169,11 @@
     write_all(connections_.at(connection).socket, text);
 }
 
+void scripted_backend::close_connection(std::size_t connection)
+{
+    ::close(std::exchange(connections_.at(connection).socket, -1));
+}
+
 void scripted_backend::close(std::size_t index)
 {
     connection_state& row = connections_.at(request_connections_.at(index));
--- a/Tests/Relay/relay_harness.h
+++ b/Tests/Relay/relay_harness.h
@@ -44,6 +44,8 @@
     void resume_reading() { reading_ = true; }
     /// Writes to a connection given by its index, also before its request was read.
     void respond_on_connection(std::size_t connection, const std::string& text);
+    /// Closes a connection given by its index; unread bytes cause a TCP reset.
+    void close_connection(std::size_t connection);
     bool connection_ended(std::size_t connection) const
     {
         return connections_.at(connection).ended;
--- a/Tests/Relay/relay_paused_loop_test.cpp
+++ b/Tests/Relay/relay_paused_loop_test.cpp
@@ -209,6 +209,52 @@
     EXPECT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("second"); }));
 }
 
+// Guards against a lost response of a server that answers before it has read the whole request and
+// closes: the relay's write fails before the rest of the response is read.
+TEST_F(relay_paused_loop, delivers_an_early_response_that_ends_with_a_reset)
+{
+    const std::string body(16000000, 'x');
+    http_head head;
+    head.method = "POST";
+    head.target = "/";
+    head.length = body.size();
+    client_connection connection(fleet.core().loop(), {.host = "127.0.0.1", .port = shop.port()},
+                                 {});
+    std::string received;
+    std::optional<http_call_result> end;
+    shop.stop_reading();
+    connection.call(head, body,
+                    {.on_head = [](const http_head& /*head*/) { return true; },
+                     .on_body = [&](std::string_view data) { received.append(data); },
+                     .on_end = [&](http_call_result result) { end = result; }});
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.connections() == 1; }));
+    shop.respond_on_connection(0, response_of("q1", std::string(60000, 'x') + "end"));
+    shop.close_connection(0);
+    ASSERT_TRUE(fleet.wait_for([&] { return end.has_value(); }));
+    EXPECT_EQ(*end, http_call_result::complete);
+    EXPECT_TRUE(received.ends_with("end"));
+}
+
+// Guards against a 503 for a request that waits for a server, whose listing was due in the pause.
+TEST_F(relay_paused_loop, looks_for_a_server_again_after_a_pause)
+{
+    relay_harness empty;
+    empty.configure(relay_harness::configuration());
+    scripted_caller& caller = empty.add_caller();
+    bool waiting = false;
+    caller.send(get("/view/"));
+    ASSERT_TRUE(empty.wait_for([&] {
+        return std::exchange(waiting, empty.core().metrics().named("requests_taken") == 1);
+    }));
+    scripted_backend* listed = nullptr;
+    const kernel::timer listing =
+        empty.core().after(100ms, [&] { listed = &empty.add_backend("s1"); });
+    block_loop(past_deadline);
+    ASSERT_TRUE(empty.wait_for(
+        [&] { return caller.status() != 0 || (listed != nullptr && listed->requests() == 1); }));
+    EXPECT_EQ(caller.status(), 0);
+}
+
 // Guards against a belief that the store does not answer, from an answer that had arrived.
 TEST_F(relay_paused_loop, uses_a_page_that_arrived_before_its_timeout_was_handled)
 {
@@ -224,3 +270,22 @@
     ASSERT_TRUE(fleet.wait_for([&] { return end.has_value(); }));
     EXPECT_EQ(*end, log_call_status::answered);
 }
+
+// Guards against a lost response of an HTTP call that had arrived before its time-out was handled.
+TEST_F(relay_paused_loop, uses_a_fetched_response_that_arrived_before_its_timeout_was_handled)
+{
+    scripted_backend& server = fleet.add_backend("log", "log");
+    std::optional<http_response> response;
+    fetch(fleet.core().loop(),
+          {.server = {.host = "127.0.0.1", .port = server.port()},
+           .method = "GET",
+           .target = "/",
+           .timeout = 300ms},
+          [&](const http_response& received) { response = received; });
+    ASSERT_TRUE(fleet.wait_for([&] { return server.requests() == 1; }));
+    server.respond(0, response_of("", "ready"));
+    block_loop(past_deadline);
+    ASSERT_TRUE(fleet.wait_for([&] { return response.has_value(); }));
+    EXPECT_EQ(response->end, http_call_result::complete);
+    EXPECT_EQ(response->body, "ready");
+}
