End a call that skips interim or foreign responses without end

Callers waited for their whole deadline and got 504 while a server in trouble sent interim responses, or responses to other requests, one after the other. A safe request was not repeated at another server either, and each foreign response wrote a warning, which no rate limit holds back.

The client skipped such responses with no limit, because the reader's limits start anew with each message. One call now skips at most 1 MiB, counted as received so that chunk extensions count, and at most 8 responses to other requests; then it ends as lost and the connection is closed. A payment gets 502, a safe request is repeated elsewhere.

--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -18,6 +18,10 @@
 namespace {
 
 constexpr int keepalive_probes = 2;
+// Limits of what one call skips before its own response: a server in trouble may send interim
+// responses, or responses to other requests, without end.
+constexpr std::size_t max_skipped_bytes = 1048576;
+constexpr unsigned max_skipped_responses = 8; // not counting interim responses
 
 void set_option(evutil_socket_t socket, int level, int option, int value)
 {
@@ -54,6 +58,8 @@
     bool call_open = false;         // a call is in progress
     bool response_started = false;  // response bytes have arrived for the current call
     bool skipping_response = false; // discards an interim response or one that `on_head` rejected
+    std::size_t skipped_bytes = 0;  // by the current call
+    unsigned skipped_responses = 0; // by the current call, without interim responses
     bool keep_alive = true;
     bool no_body = false; // the current call is a HEAD request
     bool paused = false;
@@ -134,6 +140,12 @@
             keep_alive = false;
         }
         skipping_response = receivers.on_head && !receivers.on_head(head);
+        skipped_responses += skipping_response ? 1 : 0;
+    }
+
+    bool skipped_too_much() const
+    {
+        return skipped_bytes > max_skipped_bytes || skipped_responses > max_skipped_responses;
     }
 
     void on_body_received(std::string_view data)
@@ -159,12 +171,16 @@
             response_started = true;
             const auto* data = reinterpret_cast<const char*>(
                 evbuffer_pullup(input, static_cast<ev_ssize_t>(length)));
+            const bool was_skipping = skipping_response;
             const std::size_t used = reader.feed({data, length});
             if (channel == nullptr) {
                 return;
             }
             evbuffer_drain(input, used);
-            if (reader.parse_error() != http_parse_error::none) {
+            if (was_skipping || skipping_response) {
+                skipped_bytes += used;
+            }
+            if (reader.parse_error() != http_parse_error::none || skipped_too_much()) {
                 finish(http_call_result::lost);
                 return;
             }
@@ -285,6 +301,8 @@
     self.call_open = true;
     self.response_started = false;
     self.skipping_response = false;
+    self.skipped_bytes = 0;
+    self.skipped_responses = 0;
     self.no_body = head.method == "HEAD";
     self.reader.next(self.no_body);
     if (self.closed) {
--- a/Source/client_connection.h
+++ b/Source/client_connection.h
@@ -35,7 +35,8 @@
 public:
     struct handlers {
         /// Receives the headers of a final response (status 200 or above). Return false to skip a
-        /// response that belongs to an earlier call and to wait for the next one.
+        /// response that belongs to an earlier call and to wait for the next one. A call that
+        /// skips too much ends as `lost`.
         std::function<bool(const http_head& head)> on_head;
         std::function<void(std::string_view data)> on_body;
         std::function<void(http_call_result end)> on_end; // called once, after all other callbacks
--- /dev/null
+++ b/Tests/Relay/endless_response_test.cpp
@@ -0,0 +1,252 @@
+// Tests of servers in trouble that send bytes without end, in a head or in a body, until the
+// connection is closed.
+
+#include "event_log.h"
+#include "relay_harness.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+
+using namespace cyclamen;
+
+namespace {
+
+class endless_response : public testing::Test {
+protected:
+    endless_response() : shops{&fleet.add_backend("s1"), &fleet.add_backend("s2")}
+    {
+        fleet.configure(relay_harness::configuration());
+    }
+
+    struct arrival {
+        scripted_backend* shop;
+        std::size_t index;
+
+        void respond(const std::string& text) const { shop->respond(index, text); }
+        void repeat(const std::string& text) const { shop->repeat_response(index, text); }
+        bool closed() const { return shop->closed_by_relay(index); }
+    };
+
+    std::size_t arrivals() const { return shops[0]->requests() + shops[1]->requests(); }
+
+    // Waits for the next request at either backend server.  Returns nothing if the caller gets a
+    // response first.
+    std::optional<arrival> next_arrival(const scripted_caller& caller)
+    {
+        const std::size_t before = seen[0] + seen[1];
+        EXPECT_TRUE(fleet.wait_for([&] { return arrivals() > before || caller.status() != 0; }));
+        if (arrivals() == before) {
+            return std::nullopt;
+        }
+        const std::size_t at = shops[0]->requests() > seen[0] ? 0 : 1;
+        return arrival{.shop = shops[at], .index = seen[at]++};
+    }
+
+    scripted_caller& send(const std::string& text)
+    {
+        scripted_caller& caller = fleet.add_caller();
+        caller.send(text);
+        return caller;
+    }
+
+    void expect_served_elsewhere(const scripted_caller& caller)
+    {
+        const auto second = next_arrival(caller);
+        ASSERT_TRUE(second) << "the caller got status " << caller.status();
+        second->respond(response_of("q1", "mine"));
+        EXPECT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("mine"); }));
+        EXPECT_EQ(caller.status(), 200);
+    }
+
+    relay_harness fleet;
+    std::array<scripted_backend*, 2> shops;
+    std::array<std::size_t, 2> seen{};
+};
+
+// A response that begins with `begin` and goes on with `repeated` without end.
+struct endless_case {
+    const char* name;
+    std::string begin;
+    std::string repeated;
+};
+
+std::ostream& operator<<(std::ostream& out, const endless_case& row)
+{
+    return out << row.name;
+}
+
+const std::string filler(4096, 'x');
+
+class endless_before_the_body : public endless_response,
+                                public testing::WithParamInterface<endless_case> {};
+
+class endless_after_the_head : public endless_response,
+                               public testing::WithParamInterface<endless_case> {};
+
+std::string name_of_case(const testing::TestParamInfo<endless_case>& row)
+{
+    return row.param.name;
+}
+
+} // namespace
+
+// Guards against callers that wait for the deadline, or for ever, while a server sends no answer.
+TEST_P(endless_before_the_body, ends_a_payment_with_an_unknown_outcome)
+{
+    scripted_caller& caller = send(post("/pay/", "x"));
+    const auto first = next_arrival(caller);
+    ASSERT_TRUE(first);
+    first->respond(GetParam().begin);
+    first->repeat(GetParam().repeated);
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.status() != 0; }));
+    EXPECT_EQ(caller.status(), 502);
+    EXPECT_TRUE(fleet.wait_for([&] { return first->closed(); }));
+    EXPECT_EQ(arrivals(), 1U);
+}
+
+// Guards against the same loss for requests that another server could have answered.
+TEST_P(endless_before_the_body, repeats_a_safe_request_elsewhere)
+{
+    scripted_caller& caller = send(get("/view/"));
+    const auto first = next_arrival(caller);
+    ASSERT_TRUE(first);
+    first->respond(GetParam().begin);
+    first->repeat(GetParam().repeated);
+    expect_served_elsewhere(caller);
+    EXPECT_TRUE(fleet.wait_for([&] { return first->closed(); }));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    heads, endless_before_the_body,
+    testing::Values(endless_case{"blank_lines", "", "\r\n"},
+                    endless_case{"no_http", "", "\x16garbage\x03"},
+                    endless_case{"reason_phrase", "HTTP/1.1 200 ", filler},
+                    endless_case{"header_name", "HTTP/1.1 200 OK\r\n", filler},
+                    endless_case{"header_value", "HTTP/1.1 200 OK\r\nX-Own: ", filler},
+                    endless_case{"header_fields", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+                    endless_case{"interim_responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+                    endless_case{"interim_header", "HTTP/1.1 103 Early Hints\r\nLink: ", filler},
+                    endless_case{"responses_to_other_requests", "", response_of("q0", "late")},
+                    endless_case{"empty_responses_to_other_requests", "",
+                                 "HTTP/1.1 204 No\r\nAttempt-Id: q0\r\n\r\n"},
+                    endless_case{"body_for_another_request",
+                                 "HTTP/1.1 200 OK\r\nAttempt-Id: q0\r\n\r\n", filler},
+                    endless_case{
+                        "chunks_for_another_request",
+                        "HTTP/1.1 200 OK\r\nAttempt-Id: q0\r\nTransfer-Encoding: chunked\r\n\r\n",
+                        "1;" + std::string(1000, 'e') + "\r\nx\r\n"}),
+    name_of_case);
+
+// The caller already has the status, so it learns from the cut that the answer is not whole.
+TEST_P(endless_after_the_head, breaks_the_answer_off)
+{
+    scripted_caller& caller = send(post("/pay/", "x", "Connection: close\r\n"));
+    const auto first = next_arrival(caller);
+    ASSERT_TRUE(first);
+    first->respond("HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                   GetParam().begin);
+    first->repeat(GetParam().repeated);
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.ended(); }));
+    EXPECT_EQ(caller.status(), 200);
+    EXPECT_FALSE(caller.received().ends_with("0\r\n\r\n"));
+    EXPECT_TRUE(fleet.wait_for([&] { return first->closed(); }));
+    EXPECT_EQ(arrivals(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(bodies, endless_after_the_head,
+                         testing::Values(endless_case{"chunk_size", "", "0"},
+                                         endless_case{"chunk_extension", "5;", filler},
+                                         endless_case{"trailer_fields", "0\r\n", "X: y\r\n"},
+                                         endless_case{"trailer_value", "0\r\nX: ", filler},
+                                         endless_case{"no_chunk", "1\r\nx\r\n", "garbage"}),
+                         name_of_case);
+
+// Guards against a log that grows with each response of a server in trouble: lines about
+// responses to other requests are warnings, which no rate limit holds back.
+TEST_F(endless_response, writes_few_log_lines_about_responses_to_other_requests)
+{
+    testing::internal::CaptureStdout();
+    scripted_caller& caller = send(post("/pay/", "x"));
+    const auto first = next_arrival(caller);
+    if (first) {
+        first->repeat(response_of("q0", "late"));
+    }
+    const bool responded = fleet.wait_for([&] { return caller.status() != 0; });
+    flush_events();
+    const std::string log = testing::internal::GetCapturedStdout();
+    ASSERT_TRUE(first && responded);
+    EXPECT_LT(std::count(log.begin(), log.end(), '\n'), 50);
+}
+
+// A server may announce several times that it is still at work.
+TEST_F(endless_response, passes_a_response_after_some_interim_responses)
+{
+    scripted_caller& caller = send(post("/pay/", "x"));
+    const auto first = next_arrival(caller);
+    ASSERT_TRUE(first);
+    for (int count = 0; count < 20; ++count) {
+        first->respond("HTTP/1.1 102 Processing\r\n\r\n");
+    }
+    first->respond(response_of("q1", "mine"));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.status() != 0; }));
+    EXPECT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("mine"); }));
+}
+
+// Excess bytes must neither reach the caller nor the next request.
+TEST_F(endless_response, closes_a_connection_whose_body_exceeds_its_length)
+{
+    scripted_caller& caller = send(post("/pay/", "x"));
+    const auto first = next_arrival(caller);
+    ASSERT_TRUE(first);
+    first->respond(response_of("q1", "mine"));
+    first->repeat(filler);
+    ASSERT_TRUE(fleet.wait_for([&] { return first->closed(); }));
+    EXPECT_TRUE(caller.received().ends_with("mine"));
+}
+
+TEST_F(endless_response, breaks_a_body_without_length_off_at_the_time_limit)
+{
+    scripted_caller& caller = send(get("/brief/", "Connection: close\r\n"));
+    const auto first = next_arrival(caller);
+    ASSERT_TRUE(first);
+    first->respond("HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\n\r\n");
+    first->repeat(filler);
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.ended(); }));
+    EXPECT_FALSE(caller.received().ends_with("0\r\n\r\n"));
+    EXPECT_TRUE(fleet.wait_for([&] { return first->closed(); }));
+}
+
+TEST_F(endless_response, ends_a_body_without_length_or_time_limit_when_the_caller_leaves)
+{
+    relay_configuration unlimited = relay_harness::configuration(2);
+    for (relay_route& route : unlimited.routes) {
+        route.timeout = 0ms;
+    }
+    fleet.configure(unlimited);
+    scripted_caller& caller = send(get("/view/"));
+    const auto first = next_arrival(caller);
+    ASSERT_TRUE(first);
+    first->respond("HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\n\r\n");
+    first->repeat(filler);
+    constexpr std::size_t passed_bytes = 4000000;
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.received().size() > passed_bytes; }));
+    caller.close();
+    EXPECT_TRUE(fleet.wait_for([&] { return first->closed(); }));
+}
+
+TEST_F(endless_response, serves_other_callers_meanwhile)
+{
+    scripted_caller& caller = send(get("/tell/"));
+    const auto first = next_arrival(caller);
+    ASSERT_TRUE(first);
+    first->respond("HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\n\r\n");
+    first->repeat(filler);
+    constexpr std::size_t passed_bytes = 1000000;
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.received().size() > passed_bytes; }));
+    scripted_caller& other = send(get("/none/"));
+    EXPECT_TRUE(fleet.wait_for([&] { return other.status() == 404; }));
+    EXPECT_FALSE(caller.ended());
+}
--- a/Tests/Relay/relay_harness.cpp
+++ b/Tests/Relay/relay_harness.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <stdexcept>
@@ -123,6 +124,24 @@
             parse_requests(index);
         }
     }
+    for (connection_state& row : connections_) {
+        write_repeated(row);
+    }
+}
+
+void scripted_backend::write_repeated(connection_state& row)
+{
+    while (row.socket >= 0 && !row.ended && row.bytes_left > 0) {
+        const std::size_t offset = row.bytes_repeated % row.repeated.size();
+        const std::size_t size = std::min(row.repeated.size() - offset, row.bytes_left);
+        const ssize_t count =
+            ::send(row.socket, row.repeated.data() + offset, size, MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (count <= 0) {
+            return; // the relay has not read the bytes before, or has closed the connection
+        }
+        row.bytes_repeated += static_cast<std::size_t>(count);
+        row.bytes_left -= static_cast<std::size_t>(count);
+    }
 }
 
 void scripted_backend::parse_requests(std::size_t index)
@@ -164,6 +183,25 @@
     write_all(connections_.at(request_connections_.at(index)).socket, text);
 }
 
+void scripted_backend::repeat_response(std::size_t index, const std::string& text,
+                                       std::size_t max_bytes)
+{
+    constexpr std::size_t bytes_per_write = 65536;
+    connection_state& row = connections_.at(request_connections_.at(index));
+    row.repeated = text;
+    while (row.repeated.size() < bytes_per_write) {
+        row.repeated += text;
+    }
+    row.bytes_left = max_bytes;
+    row.bytes_repeated = 0;
+    write_repeated(row);
+}
+
+std::size_t scripted_backend::bytes_repeated(std::size_t index) const
+{
+    return connections_.at(request_connections_.at(index)).bytes_repeated;
+}
+
 void scripted_backend::respond_on_connection(std::size_t connection, const std::string& text)
 {
     write_all(connections_.at(connection).socket, text);
--- a/Tests/Relay/relay_harness.h
+++ b/Tests/Relay/relay_harness.h
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -31,6 +32,12 @@
 
     /// Writes `text` to the connection on which request `index` arrived.
     void respond(std::size_t index, const std::string& text);
+    /// Writes `text` again and again to the connection on which request `index` arrived, as fast
+    /// as the relay reads it, until the relay closes the connection or `max_bytes` are written.
+    void repeat_response(std::size_t index, const std::string& text,
+                         std::size_t max_bytes = std::numeric_limits<std::size_t>::max());
+    /// Number of bytes that `repeat_response` has written for request `index`.
+    std::size_t bytes_repeated(std::size_t index) const;
     /// Closes the connection on which request `index` arrived.
     void close(std::size_t index);
     /// The same with a TCP reset.
@@ -55,9 +62,13 @@
         int socket = -1;
         std::string unread; // received bytes of an incomplete request
         bool ended = false;
+        std::string repeated; // written again and again while `bytes_left` is not 0
+        std::size_t bytes_left = 0;
+        std::size_t bytes_repeated = 0;
     };
 
     void parse_requests(std::size_t index);
+    static void write_repeated(connection_state& row);
 
     std::uint16_t port_ = 0;
     int listener_ = -1;
