Retry without waiting for the end of a body that is dropped

A caller got 504 at its deadline although another server was free: a server in trouble had sent an error status, or the report that the request was not run, with a body that never ended. The relay drops such a body, yet waited for its end before it tried the next server; the only limit was the reader's 64 MiB of decoded body, which a stalled body or long chunk extensions never reach.

The relay now tells the connection to discard the response: the call ends once the body is complete, takes more than 100 ms or has more than 1 MiB as received. Only in the first case is the connection kept, so that an ordinary short rejection still costs none.

Evidence: stalled and chunk_extensions of repeats_a_safe_request_after_an_error and repeats_a_payment_that_was_not_executed failed before, with 504 after 3.1 s. The other cases were passed before by the limit of 64 MiB alone.

--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -12,16 +12,20 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace cyclamen {
 
 namespace {
 
 constexpr int keepalive_probes = 2;
-// Limits of what one call skips before its own response: a server in trouble may send interim
-// responses, or responses to other requests, without end.
+// Limits of what one call skips before its own response, or discards of it: a server in trouble may
+// send interim responses, responses to other requests, or a body without end.
 constexpr std::size_t max_skipped_bytes = 1048576;
 constexpr unsigned max_skipped_responses = 8; // not counting interim responses
+// Longest time from the head of a discarded response to its end. Waiting longer costs more than the
+// new connection that it could save.
+constexpr millis max_discard_time = 100ms;
 
 void set_option(evutil_socket_t socket, int level, int option, int value)
 {
@@ -58,6 +62,8 @@
     bool call_open = false;         // a call is in progress
     bool response_started = false;  // response bytes have arrived for the current call
     bool skipping_response = false; // discards an interim response or one that `on_head` rejected
+    bool discarding = false;        // drops the body of the current call's response
+    event* discard_timer = nullptr; // exists while a response is discarded
     std::size_t skipped_bytes = 0;  // by the current call
     unsigned skipped_responses = 0; // by the current call, without interim responses
     bool keep_alive = true;
@@ -80,7 +86,7 @@
     void connect(const net_address& server)
     {
         channel = bufferevent_socket_new(loop, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
-        bufferevent_setcb(channel, &state::readable, nullptr, &state::event, this);
+        bufferevent_setcb(channel, &state::readable, nullptr, &state::connection_event, this);
         const timeval limit = to_timeval(options.connect_timeout);
         bufferevent_set_timeouts(channel, nullptr, &limit);
         sockaddr_storage address{};
@@ -107,9 +113,28 @@
         set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
     }
 
+    void discard_response()
+    {
+        discarding = true;
+        if (discard_timer == nullptr) {
+            discard_timer = event_new(loop, -1, 0, &state::on_discard_timeout, this);
+            const timeval limit = to_timeval(max_discard_time);
+            event_add(discard_timer, &limit);
+        }
+    }
+
+    void end_discard()
+    {
+        discarding = false;
+        if (discard_timer != nullptr) {
+            event_free(std::exchange(discard_timer, nullptr));
+        }
+    }
+
     void close()
     {
         closed = true;
+        end_discard();
         if (channel != nullptr) {
             bufferevent_free(channel);
             channel = nullptr;
@@ -150,7 +175,7 @@
 
     void on_body_received(std::string_view data)
     {
-        if (!skipping_response && receivers.on_body) {
+        if (!skipping_response && !discarding && receivers.on_body) {
             receivers.on_body(data);
         }
     }
@@ -177,7 +202,7 @@
                 return;
             }
             evbuffer_drain(input, used);
-            if (was_skipping || skipping_response) {
+            if (was_skipping || skipping_response || discarding) {
                 skipped_bytes += used;
             }
             if (reader.parse_error() != http_parse_error::none || skipped_too_much()) {
@@ -213,6 +238,7 @@
         if (end != http_call_result::complete) {
             close();
         }
+        end_discard();
         if (!call_open) {
             return;
         }
@@ -259,12 +285,18 @@
         finish(http_call_result::lost);
     }
 
+    static void on_discard_timeout(evutil_socket_t /*socket*/, short /*what*/, void* user)
+    {
+        const std::shared_ptr<state> hold = static_cast<state*>(user)->shared_from_this();
+        hold->finish(http_call_result::lost);
+    }
+
     static void readable(bufferevent* /*channel*/, void* user)
     {
         static_cast<state*>(user)->read();
     }
 
-    static void event(bufferevent* /*channel*/, short what, void* user)
+    static void connection_event(bufferevent* /*channel*/, short what, void* user)
     {
         auto* self = static_cast<state*>(user);
         if ((what & BEV_EVENT_CONNECTED) == 0) {
@@ -329,6 +361,11 @@
     state_->close();
 }
 
+void client_connection::discard_response()
+{
+    state_->discard_response();
+}
+
 void client_connection::pause_reading(bool paused)
 {
     state& self = *state_;
--- a/Source/client_connection.h
+++ b/Source/client_connection.h
@@ -52,6 +52,9 @@
     void call(const http_head& head, const std::string& body, handlers receivers);
     /// Cancels the call without calling its handlers, and closes the connection.
     void abandon();
+    /// Drops the body of the current response; to be called by `on_head`. The call ends as `lost`
+    /// if the body is long or takes long, and as `complete` otherwise.
+    void discard_response();
     /// Pauses or resumes reading the response, so that a slow consumer does not cause unbounded
     /// buffering.
     void pause_reading(bool paused);
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -265,18 +265,18 @@
         context_.state.backends().record_load(*server, *metadata.load, context_.core.now());
     }
     if (metadata.not_run || head.status == misdirected) {
-        failure_ = attempt_outcome::rejected;
+        discard_response(attempt_outcome::rejected);
         return true;
     }
     const bool failed = head.status >= first_server_error;
     if (response_head_sent_ && (failed || !is_event_stream(head))) {
-        failure_ = attempt_outcome::lost; // this response does not continue the event stream
+        discard_response(attempt_outcome::lost); // it does not continue the event stream
         return true;
     }
     if (failed && attempts_->repeatable()) {
         const attempt_action step = attempts_->next_action(attempt_outcome::failed);
         if (step == attempt_action::retry) {
-            failure_ = attempt_outcome::failed;
+            discard_response(attempt_outcome::failed);
             return true;
         }
     }
@@ -284,6 +284,13 @@
     return true;
 }
 
+// Drops the rest of the current response, which reports a failure that the caller need not see.
+void relay_exchange::discard_response(attempt_outcome failure)
+{
+    failure_ = failure;
+    connection_->discard_response();
+}
+
 void relay_exchange::begin_caller_response(const http_head& head)
 {
     status_ = head.status;
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -84,6 +84,7 @@
     void wait_for_backend(const backend_choice& choice);
     void send(const backend_choice& choice);
     bool on_response_head(const http_head& head);
+    void discard_response(attempt_outcome failure);
     void begin_caller_response(const http_head& head);
     void on_response_body(std::string_view data);
     void on_call_end(http_call_result end);
--- a/Tests/Relay/endless_response_test.cpp
+++ b/Tests/Relay/endless_response_test.cpp
@@ -250,3 +250,60 @@
     EXPECT_TRUE(fleet.wait_for([&] { return other.status() == 404; }));
     EXPECT_FALSE(caller.ended());
 }
+
+namespace {
+
+class endless_discarded_body : public endless_response,
+                               public testing::WithParamInterface<endless_case> {};
+
+} // namespace
+
+// Guards against a deadline missed while the relay waits for the end of a body that it drops
+// anyway: the request could long have run elsewhere.
+TEST_P(endless_discarded_body, repeats_a_safe_request_after_an_error)
+{
+    scripted_caller& caller = send(get("/view/"));
+    const auto first = next_arrival(caller);
+    ASSERT_TRUE(first);
+    first->respond("HTTP/1.1 500 Oh\r\nAttempt-Id: q1\r\n" + GetParam().begin);
+    if (!GetParam().repeated.empty()) {
+        first->repeat(GetParam().repeated);
+    }
+    expect_served_elsewhere(caller);
+    EXPECT_TRUE(fleet.wait_for([&] { return first->closed(); }));
+}
+
+TEST_P(endless_discarded_body, repeats_a_payment_that_was_not_executed)
+{
+    scripted_caller& caller = send(post("/pay/", "x"));
+    const auto first = next_arrival(caller);
+    ASSERT_TRUE(first);
+    first->respond("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n" + GetParam().begin);
+    if (!GetParam().repeated.empty()) {
+        first->repeat(GetParam().repeated);
+    }
+    expect_served_elsewhere(caller);
+    EXPECT_TRUE(fleet.wait_for([&] { return first->closed(); }));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    bodies, endless_discarded_body,
+    testing::Values(endless_case{"without_length", "\r\n", filler},
+                    endless_case{"large_length", "Content-Length: 60000000\r\n\r\n", filler},
+                    endless_case{"chunks", "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+                    endless_case{"chunk_extensions", "Transfer-Encoding: chunked\r\n\r\n",
+                                 "1;" + std::string(30000, 'e') + "\r\nx\r\n"},
+                    endless_case{"stalled", "Content-Length: 10\r\n\r\n", ""}),
+    name_of_case);
+
+// The body of an ordinary rejection costs no connection.
+TEST_F(endless_response, keeps_the_connection_after_a_short_discarded_body)
+{
+    scripted_caller& caller = send(get("/view/"));
+    const auto first = next_arrival(caller);
+    ASSERT_TRUE(first);
+    first->respond("HTTP/1.1 500 Oh\r\nAttempt-Id: q1\r\nContent-Length: 2000\r\n\r\n" +
+                   std::string(2000, 'x'));
+    expect_served_elsewhere(caller);
+    EXPECT_FALSE(first->closed());
+}
