Hold back no event of an event stream without limit

A caller of an event stream got nothing until its deadline, and other callers of the entry were slow, while a server in trouble sent an event that never ended. The relay held back the event until it was complete, up to 64 MiB per request, and searched all of it again with each read.

An event is now held back up to 1 MiB. Beyond that, an attempt at a resumable stream ends as lost and the stream goes on at another server behind the last whole event; a stream that is not resumable is forwarded as it comes, since nothing resumes it. Each byte is searched once.

--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -63,6 +63,7 @@
     bool response_started = false;  // response bytes have arrived for the current call
     bool skipping_response = false; // discards an interim response or one that `on_head` rejected
     bool discarding = false;        // drops the body of the current call's response
+    bool cut = false;               // the call is to end without the rest of its response
     event* discard_timer = nullptr; // exists while a response is discarded
     std::size_t skipped_bytes = 0;  // by the current call
     unsigned skipped_responses = 0; // by the current call, without interim responses
@@ -175,7 +176,7 @@
 
     void on_body_received(std::string_view data)
     {
-        if (!skipping_response && !discarding && receivers.on_body) {
+        if (!skipping_response && !discarding && !cut && receivers.on_body) {
             receivers.on_body(data);
         }
     }
@@ -205,7 +206,7 @@
             if (was_skipping || skipping_response || discarding) {
                 skipped_bytes += used;
             }
-            if (reader.parse_error() != http_parse_error::none || skipped_too_much()) {
+            if (reader.parse_error() != http_parse_error::none || skipped_too_much() || cut) {
                 finish(http_call_result::lost);
                 return;
             }
@@ -333,6 +334,7 @@
     self.call_open = true;
     self.response_started = false;
     self.skipping_response = false;
+    self.cut = false;
     self.skipped_bytes = 0;
     self.skipped_responses = 0;
     self.no_body = head.method == "HEAD";
@@ -366,6 +368,11 @@
     state_->discard_response();
 }
 
+void client_connection::cut_response()
+{
+    state_->cut = true;
+}
+
 void client_connection::pause_reading(bool paused)
 {
     state& self = *state_;
--- a/Source/client_connection.h
+++ b/Source/client_connection.h
@@ -55,6 +55,8 @@
     /// Drops the body of the current response; to be called by `on_head`. The call ends as `lost`
     /// if the body is long or takes long, and as `complete` otherwise.
     void discard_response();
+    /// Ends the call as `lost` once the handler `on_body`, which calls this, has returned.
+    void cut_response();
     /// Pauses or resumes reading the response, so that a slow consumer does not cause unbounded
     /// buffering.
     void pause_reading(bool paused);
--- a/Source/event_stream_splitter.cpp
+++ b/Source/event_stream_splitter.cpp
@@ -6,15 +6,20 @@
 
 namespace {
 
-// Offset after the last blank line, which ends the last complete event; 0 if there is no
-// complete event.
-std::size_t end_of_complete_events(std::string_view text)
+// Offset after the last blank line, which ends the last complete event; 0 if there is none. Blank
+// lines that end at or before the offset `searched` are not looked for.
+std::size_t end_of_complete_events(std::string_view text, std::size_t searched)
 {
-    const std::size_t unix_end = text.rfind("\n\n");
-    const std::size_t dos_end = text.rfind("\r\n\r\n");
-    const std::size_t after_unix = unix_end == std::string_view::npos ? 0 : unix_end + 2;
-    const std::size_t after_dos = dos_end == std::string_view::npos ? 0 : dos_end + 4;
-    return std::max(after_unix, after_dos);
+    std::size_t end = 0;
+    for (const std::string_view blank : {"\n\n", "\r\n\r\n"}) {
+        // The first bytes of a blank line may have been received earlier.
+        const std::size_t from = searched - std::min(searched, blank.size() - 1);
+        const std::size_t at = text.substr(from).rfind(blank);
+        if (at != std::string_view::npos) {
+            end = std::max(end, from + at + blank.size());
+        }
+    }
+    return end;
 }
 
 std::string_view strip_leading_space(std::string_view text)
@@ -26,8 +31,9 @@
 
 std::string_view event_stream_splitter::feed(std::string_view data)
 {
+    const std::size_t searched = partial_.size();
     partial_.append(data);
-    const std::size_t end = end_of_complete_events(partial_);
+    const std::size_t end = end_of_complete_events(partial_, searched);
     complete_events_.assign(partial_, 0, end);
     partial_.erase(0, end);
     update_last_id(complete_events_);
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -307,12 +307,31 @@
     caller_->begin_response(std::move(response));
 }
 
+// Returns what may be forwarded of an event stream now that `data` has arrived. An event that is
+// too long to be held back ends an attempt at a resumable stream, because another server cannot
+// continue in the middle of an event. Any other stream is forwarded as it comes from then on.
+std::string_view relay_exchange::ready_events(std::string_view data)
+{
+    const std::string_view complete = events_.feed(data);
+    if (events_.partial().size() <= context_.options.max_event) {
+        return complete;
+    }
+    if (route_->resumable) {
+        mode_ = body_mode::discard;
+        connection_->cut_response();
+        return complete;
+    }
+    mode_ = body_mode::pass;
+    caller_->write(complete);
+    return events_.partial();
+}
+
 void relay_exchange::on_response_body(std::string_view data)
 {
     if (mode_ == body_mode::discard) {
         return;
     }
-    const std::string_view ready = mode_ == body_mode::events ? events_.feed(data) : data;
+    const std::string_view ready = mode_ == body_mode::events ? ready_events(data) : data;
     if (ready.empty()) {
         return;
     }
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -42,6 +42,8 @@
     double unconfigured_retry_after_share = 0.3;
     // Bytes buffered for a slow caller above which reading from the backend server is paused.
     std::size_t max_unsent = 262144;
+    // Longest event of an event stream that is held back until it is complete.
+    std::size_t max_event = 1048576;
 };
 
 /// Collaborators of an exchange; all of them outlive the exchange.
@@ -86,6 +88,7 @@
     bool on_response_head(const http_head& head);
     void discard_response(attempt_outcome failure);
     void begin_caller_response(const http_head& head);
+    std::string_view ready_events(std::string_view data);
     void on_response_body(std::string_view data);
     void on_call_end(http_call_result end);
     void handle_failed_attempt(attempt_outcome end);
--- a/Tests/Relay/endless_response_test.cpp
+++ b/Tests/Relay/endless_response_test.cpp
@@ -307,3 +307,38 @@
     expect_served_elsewhere(caller);
     EXPECT_FALSE(first->closed());
 }
+
+// Guards against an event that is buffered and searched again with each read until memory and
+// time run out.  Only a resumable stream needs whole events; another one passes as it comes.
+TEST_F(endless_response, passes_an_event_without_end_of_a_stream_that_is_not_resumable)
+{
+    scripted_caller& caller = send(get("/tell/"));
+    const auto first = next_arrival(caller);
+    ASSERT_TRUE(first);
+    first->respond("HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nContent-Type: text/event-stream\r\n\r\n"
+                   "data: begin\n\ndata: ");
+    first->repeat(filler);
+    constexpr std::size_t passed_bytes = 8000000;
+    EXPECT_TRUE(fleet.wait_for([&] { return caller.received().size() > passed_bytes; }));
+    EXPECT_FALSE(caller.ended());
+}
+
+TEST_F(endless_response, resumes_a_stream_elsewhere_after_an_event_without_end)
+{
+    scripted_caller& caller = send(get("/resume/"));
+    const auto first = next_arrival(caller);
+    ASSERT_TRUE(first);
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nContent-Type: text/event-stream\r\n";
+    first->respond(head + "\r\nid: 1\ndata: begin\n\ndata: ");
+    first->repeat(filler);
+    ASSERT_TRUE(fleet.wait_for([&] { return arrivals() == 2 || caller.ended(); }));
+    ASSERT_EQ(arrivals(), 2U);
+    scripted_backend& other = first->shop == shops[0] ? *shops[1] : *shops[0];
+    EXPECT_EQ(other.header(0, "Last-Event-Id"), "1");
+    other.respond(0, head + "Content-Length: 18\r\n\r\nid: 2\ndata: end\n\n\n");
+    EXPECT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("0\r\n\r\n"); }));
+    EXPECT_NE(caller.received().find("data: end"), std::string::npos);
+    EXPECT_EQ(caller.received().find("xxxx"), std::string::npos);
+    EXPECT_TRUE(fleet.wait_for([&] { return first->closed(); }));
+}
