Reuse no connection that holds bytes which no call awaits

A caller could get a body that answered nothing, or a payment an unknown outcome: a server in trouble sent bytes on an idle connection, and the event loop found them in the same iteration as the next request. The idle connection was taken for that request, and the bytes were read as its response, since a response without an id is accepted.

A connection is now reusable only if neither its buffer nor its socket holds bytes or the end of the stream. That also spares a request a connection that the server has just closed.

--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -222,6 +222,14 @@
         }
     }
 
+    // True if bytes, or the end of the stream, have arrived that have not been handled.
+    bool has_unread_input() const
+    {
+        char byte = 0;
+        return evbuffer_get_length(bufferevent_get_input(channel)) > 0 ||
+               recv(bufferevent_getfd(channel), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) >= 0;
+    }
+
     void completed()
     {
         const bool unread_or_unsent =
@@ -390,7 +398,8 @@
 
 bool client_connection::reusable() const
 {
-    return !state_->closed && !state_->call_open && state_->connected;
+    return !state_->closed && !state_->call_open && state_->connected &&
+           !state_->has_unread_input();
 }
 
 std::optional<millis> client_connection::keep_alive_timeout() const
--- a/Source/client_connection.h
+++ b/Source/client_connection.h
@@ -61,7 +61,8 @@
     /// buffering.
     void pause_reading(bool paused);
 
-    /// True if the connection is established and no call is in progress.
+    /// True if the connection is established, no call is in progress, and the server has neither
+    /// closed the connection nor sent bytes that no call awaits.
     bool reusable() const;
     /// Timeout of the server's Keep-Alive header, if it sent one.
     std::optional<millis> keep_alive_timeout() const;
--- a/Tests/Relay/endless_response_test.cpp
+++ b/Tests/Relay/endless_response_test.cpp
@@ -342,3 +342,40 @@
     EXPECT_EQ(caller.received().find("xxxx"), std::string::npos);
     EXPECT_TRUE(fleet.wait_for([&] { return first->closed(); }));
 }
+
+// Guards against a payment that is written to a connection which already holds bytes that answer
+// nothing, and that is then lost.  The relay finds the payment and those bytes in one iteration.
+TEST_F(endless_response, does_not_reuse_a_connection_with_unread_bytes)
+{
+    scripted_caller& caller = send(post("/pay/", "x"));
+    const auto first = next_arrival(caller);
+    ASSERT_TRUE(first);
+    first->respond(response_of("q1", "mine"));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("mine"); }));
+    // Leaves one server, so that the relay has to choose it again.
+    scripted_backend& unused = first->shop == shops[0] ? *shops[1] : *shops[0];
+    unused.stop_listening();
+    caller.send(post("/pay/", "y"));
+    first->repeat("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhose");
+    const auto has_foreign_body = [&] {
+        return caller.received().find("whose") != std::string::npos;
+    };
+    ASSERT_TRUE(fleet.wait_for([&] { return first->shop->requests() == 2 || has_foreign_body(); }));
+    ASSERT_FALSE(has_foreign_body());
+    first->shop->respond(1, response_of("q1", "second"));
+    EXPECT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("second"); }));
+    EXPECT_FALSE(has_foreign_body());
+    EXPECT_EQ(first->shop->connections(), 2U);
+    EXPECT_TRUE(fleet.wait_for([&] { return first->shop->connection_ended(0); }));
+}
+
+TEST_F(endless_response, closes_an_idle_connection_that_receives_bytes)
+{
+    scripted_caller& caller = send(post("/pay/", "x"));
+    const auto first = next_arrival(caller);
+    ASSERT_TRUE(first);
+    first->respond(response_of("q1", "mine"));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("mine"); }));
+    first->repeat(filler);
+    EXPECT_TRUE(fleet.wait_for([&] { return first->closed(); }));
+}
