Merge bounds for endless responses

Joins both checks of a pooled connection into one, and lets the part of an over-long event that is forwarded at once take the way of all other parts: while a deadline is handled the response is held back as a whole, and that part would have been lost.

--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -15,12 +15,20 @@
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
+#include <utility>
 
 namespace cyclamen {
 
 namespace {
 
 constexpr int keepalive_probes = 2;
+// Limits of what one call skips before its own response, or discards of it: a server in trouble may
+// send interim responses, responses to other requests, or a body without end.
+constexpr std::size_t max_skipped_bytes = 1048576;
+constexpr unsigned max_skipped_responses = 8; // not counting interim responses
+// Longest time from the head of a discarded response to its end. Waiting longer costs more than the
+// new connection that it could save.
+constexpr millis max_discard_time = 100ms;
 
 void set_option(evutil_socket_t socket, int level, int option, int value)
 {
@@ -57,6 +65,11 @@
     bool call_open = false;         // a call is in progress
     bool response_started = false;  // response bytes have arrived for the current call
     bool skipping_response = false; // discards an interim response or one that `on_head` rejected
+    bool discarding = false;        // drops the body of the current call's response
+    bool cut = false;               // the call is to end without the rest of its response
+    event* discard_timer = nullptr; // exists while a response is discarded
+    std::size_t skipped_bytes = 0;  // by the current call
+    unsigned skipped_responses = 0; // by the current call, without interim responses
     bool keep_alive = true;
     bool no_body = false; // the current call is a HEAD request
     bool paused = false;
@@ -79,7 +92,7 @@
     void connect(const net_address& server)
     {
         channel = bufferevent_socket_new(loop, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
-        bufferevent_setcb(channel, &state::readable, nullptr, &state::event, this);
+        bufferevent_setcb(channel, &state::readable, nullptr, &state::connection_event, this);
         // Otherwise the time limit counts from the start of the loop's iteration.
         event_base_update_cache_time(loop);
         const timeval limit = to_timeval(options.connect_timeout);
@@ -108,9 +121,28 @@
         set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
     }
 
+    void discard_response()
+    {
+        discarding = true;
+        if (discard_timer == nullptr) {
+            discard_timer = event_new(loop, -1, 0, &state::on_discard_timeout, this);
+            const timeval limit = to_timeval(max_discard_time);
+            event_add(discard_timer, &limit);
+        }
+    }
+
+    void end_discard()
+    {
+        discarding = false;
+        if (discard_timer != nullptr) {
+            event_free(std::exchange(discard_timer, nullptr));
+        }
+    }
+
     void close()
     {
         closed = true;
+        end_discard();
         if (channel != nullptr) {
             bufferevent_free(channel);
             channel = nullptr;
@@ -141,11 +173,17 @@
             keep_alive = false;
         }
         skipping_response = receivers.on_head && !receivers.on_head(head);
+        skipped_responses += skipping_response ? 1 : 0;
+    }
+
+    bool skipped_too_much() const
+    {
+        return skipped_bytes > max_skipped_bytes || skipped_responses > max_skipped_responses;
     }
 
     void on_body_received(std::string_view data)
     {
-        if (!skipping_response && receivers.on_body) {
+        if (!skipping_response && !discarding && !cut && receivers.on_body) {
             receivers.on_body(data);
         }
     }
@@ -166,12 +204,16 @@
             response_started = true;
             const auto* data = reinterpret_cast<const char*>(
                 evbuffer_pullup(input, static_cast<ev_ssize_t>(length)));
+            const bool was_skipping = skipping_response;
             const std::size_t used = reader.feed({data, length});
             if (channel == nullptr) {
                 return;
             }
             evbuffer_drain(input, used);
-            if (reader.parse_error() != http_parse_error::none) {
+            if (was_skipping || skipping_response || discarding) {
+                skipped_bytes += used;
+            }
+            if (reader.parse_error() != http_parse_error::none || skipped_too_much() || cut) {
                 finish(http_call_result::lost);
                 return;
             }
@@ -250,6 +292,7 @@
         if (end != http_call_result::complete) {
             close();
         }
+        end_discard();
         if (!call_open) {
             return;
         }
@@ -296,6 +339,12 @@
         finish(http_call_result::lost);
     }
 
+    static void on_discard_timeout(evutil_socket_t /*socket*/, short /*what*/, void* user)
+    {
+        const std::shared_ptr<state> hold = static_cast<state*>(user)->shared_from_this();
+        hold->finish(http_call_result::lost);
+    }
+
     static void readable(bufferevent* /*channel*/, void* user)
     {
         static_cast<state*>(user)->read();
@@ -314,7 +363,7 @@
         return true;
     }
 
-    static void event(bufferevent* /*channel*/, short what, void* user)
+    static void connection_event(bufferevent* /*channel*/, short what, void* user)
     {
         auto* self = static_cast<state*>(user);
         if ((what & BEV_EVENT_TIMEOUT) != 0 && !self->connected && self->resume_connect()) {
@@ -355,6 +404,9 @@
     ++self.calls;
     self.response_started = false;
     self.skipping_response = false;
+    self.cut = false;
+    self.skipped_bytes = 0;
+    self.skipped_responses = 0;
     self.no_body = head.method == "HEAD";
     self.reader.next(self.no_body);
     if (self.closed) {
@@ -381,6 +433,16 @@
     state_->close();
 }
 
+void client_connection::discard_response()
+{
+    state_->discard_response();
+}
+
+void client_connection::cut_response()
+{
+    state_->cut = true;
+}
+
 void client_connection::pause_reading(bool paused)
 {
     state& self = *state_;
--- a/Source/client_connection.h
+++ b/Source/client_connection.h
@@ -35,7 +35,8 @@
 public:
     struct handlers {
         /// Receives the headers of a final response (status 200 or above). Return false to skip a
-        /// response that belongs to an earlier call and to wait for the next one.
+        /// response that belongs to an earlier call and to wait for the next one. A call that
+        /// skips too much ends as `lost`.
         std::function<bool(const http_head& head)> on_head;
         std::function<void(std::string_view data)> on_body;
         std::function<void(http_call_result end)> on_end; // called once, after all other callbacks
@@ -51,6 +52,11 @@
     void call(const http_head& head, const std::string& body, handlers receivers);
     /// Cancels the call without calling its handlers, and closes the connection.
     void abandon();
+    /// Drops the body of the current response; to be called by `on_head`. The call ends as `lost`
+    /// if the body is long or takes long, and as `complete` otherwise.
+    void discard_response();
+    /// Ends the call as `lost` once the handler `on_body`, which calls this, has returned.
+    void cut_response();
     /// Pauses or resumes reading the response, so that a slow consumer does not cause unbounded
     /// buffering.
     void pause_reading(bool paused);
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -270,18 +270,18 @@
         context_.state.backends().record_load(*server, *metadata.load, context_.core.now());
     }
     if (metadata.not_run || head.status == misdirected) {
-        failure_ = attempt_outcome::rejected;
+        discard_response(attempt_outcome::rejected);
         return true;
     }
     const bool failed = head.status >= first_server_error;
     if (response_head_sent_ && (failed || !is_event_stream(head))) {
-        failure_ = attempt_outcome::lost; // this response does not continue the event stream
+        discard_response(attempt_outcome::lost); // it does not continue the event stream
         return true;
     }
     if (failed && attempts_->repeatable() && !last_look_) {
         const attempt_action step = attempts_->next_action(attempt_outcome::failed);
         if (step == attempt_action::retry) {
-            failure_ = attempt_outcome::failed;
+            discard_response(attempt_outcome::failed);
             return true;
         }
     }
@@ -289,6 +289,13 @@
     return true;
 }
 
+// Drops the rest of the current response, which reports a failure that the caller need not see.
+void relay_exchange::discard_response(attempt_outcome failure)
+{
+    failure_ = failure;
+    connection_->discard_response();
+}
+
 void relay_exchange::begin_caller_response(const http_head& head)
 {
     status_ = head.status;
@@ -314,12 +321,36 @@
     caller_->begin_response(std::move(response));
 }
 
+// Returns what may be forwarded of an event stream now that `data` has arrived. An event that is
+// too long to be held back ends an attempt at a resumable stream, because another server cannot
+// continue in the middle of an event. Any other stream is forwarded as it comes from then on.
+std::string_view relay_exchange::ready_events(std::string_view data)
+{
+    const std::string_view complete = events_.feed(data);
+    if (events_.partial().size() <= context_.options.max_event) {
+        return complete;
+    }
+    if (route_->resumable) {
+        mode_ = body_mode::discard;
+        connection_->cut_response();
+        return complete;
+    }
+    mode_ = body_mode::pass;
+    forward_body(complete);
+    return events_.partial();
+}
+
 void relay_exchange::on_response_body(std::string_view data)
 {
     if (mode_ == body_mode::discard) {
         return;
     }
-    const std::string_view ready = mode_ == body_mode::events ? events_.feed(data) : data;
+    const std::string_view ready = mode_ == body_mode::events ? ready_events(data) : data;
+    forward_body(ready);
+}
+
+void relay_exchange::forward_body(std::string_view ready)
+{
     if (ready.empty()) {
         return;
     }
