Exit only after three idle checks in a row

Callers that connect to a stopping process lost whole requests: the process left its event loop in the iteration in which it accepted the connection, before it had read the request.

The kernel exited at the first check that found every service idle. That check is a timer, and input that became readable in its iteration is not counted as work yet. Accepting a connection and reading its request take an iteration each, and the read request is processed after the timers of its iteration, so idleness must now hold at three checks, each in an iteration of its own. A request found in between makes the count start again. An exit takes 40 ms longer.

This is no bound for callers that connect later, and connections that stay open are still closed by the exit.

The other tests have not been run with it.

--- a/Source/kernel.cpp
+++ b/Source/kernel.cpp
@@ -15,6 +15,9 @@
 namespace {
 
 constexpr millis idle_check_interval = 20ms;
+// An iteration each to accept a waiting connection and to read its request, which is processed
+// after the timers of that iteration; the check of the next iteration sees it.
+constexpr int idle_checks_before_exit = 3;
 constexpr millis log_flush_interval = 100ms;
 // Delays of the event loop above this are logged; callers notice them.
 constexpr millis logged_loop_delay = 100ms;
@@ -156,9 +159,13 @@
 {
     for (const auto& registered : services_) {
         if (!registered->idle()) {
+            idle_checks_ = 0;
             return;
         }
     }
+    if (++idle_checks_ < idle_checks_before_exit) {
+        return;
+    }
     event_base_loopbreak(loop_);
 }
 
--- a/Source/kernel.h
+++ b/Source/kernel.h
@@ -111,6 +111,7 @@
     std::vector<std::unique_ptr<service>> services_;
     std::vector<event*> signals_;
     timer idle_check_;
+    int idle_checks_ = 0; // consecutive checks that found every service idle
     bool stopping_ = false;
     int exit_status_ = 0;
 };
