Count timers from the moment at which they are set

Callers of a stopping entry lost requests sent a few milliseconds after a response: their connections closed 3 to 6 ms after it, instead of 200 ms.

Cause: libevent counts a new timer from the time that it cached at the start of the loop's iteration. After a pause in the middle of an iteration, the idle limit had passed when it was set. The same holds for every time-out that a callback sets. The kernel now updates the cached time first, which makes the same update in relay_exchange superfluous.

--- a/Source/kernel.cpp
+++ b/Source/kernel.cpp
@@ -67,6 +67,8 @@
     const auto flags = static_cast<short>(repeat ? EV_PERSIST : 0);
     state_->handle = event_new(loop, -1, flags, &state::fire, state_.get());
     const timeval delay = to_timeval(interval);
+    // libevent counts a timer from the start of the loop's iteration, which may be long ago.
+    event_base_update_cache_time(loop);
     event_add(state_->handle, &delay);
 }
 
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -6,7 +6,6 @@
 #include "relay_state.h"
 #include "retry_budgets.h"
 
-#include <event2/event.h>
 
 #include <algorithm>
 
@@ -65,9 +64,6 @@
         refuse({.status = unavailable, .reason = "stopping", .retry_after = 0ms});
         return;
     }
-    // libevent counts timers from the start of the iteration, which may be long ago if a callback
-    // in it took long.
-    event_base_update_cache_time(context_.core.loop());
     const millis remaining = deadline_ + context_.options.deadline_slack - context_.core.now();
     deadline_timer_ = context_.core.after(std::max(1ms, remaining), [this] { on_deadline(); });
     if (!body_.empty() && !context_.state.crashes().empty() &&
