Count idleness and lingering from the end of the transmission

Cause: the limits of a connection that is to be closed (200 ms idle, 1 s lingering) counted from the moment at which the response was queued. A pause of the process, or a slow line, falls between that and its transmission, so the limit had passed when the caller received the response, or before it had received all of it.

Both limits now count from the moment at which the last byte was passed to the socket. Until then the configured idle time-out holds.

--- a/Source/caller_connection.cpp
+++ b/Source/caller_connection.cpp
@@ -84,10 +84,14 @@
     if (self->unsent_bytes() > 0) {
         return;
     }
+    self->output_pending_ = false;
     if (self->state_ == stage::lingering) {
-        shutdown(bufferevent_getfd(self->channel_), SHUT_WR);
+        self->end_output();
         return;
     }
+    if (self->state_ == stage::reading && !self->reader_.message_started()) {
+        self->start_timer(self->idle_timeout());
+    }
     if (self->on_drained) {
         self->on_drained();
     }
@@ -159,7 +163,7 @@
     const bool body_follows = head.chunked || (head.length && *head.length > 0);
     if (body_follows && header_names_equal(head.header_or("Expect", ""), "100-continue")) {
         constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
-        bufferevent_write(channel_, continue_response.data(), continue_response.size());
+        send(continue_response);
     }
 }
 
@@ -197,7 +201,12 @@
     else if (request_.minor_version == 0) {
         head.add("Connection", "keep-alive");
     }
-    const std::string text = response_text(head);
+    send(response_text(head));
+}
+
+void caller_connection::send(std::string_view text)
+{
+    output_pending_ = true;
     bufferevent_write(channel_, text.data(), text.size());
 }
 
@@ -206,13 +215,12 @@
     if (state_ != stage::responding || data.empty() || is_head_request_) {
         return;
     }
-    evbuffer* output = bufferevent_get_output(channel_);
     if (chunked_) {
-        evbuffer_add_printf(output, "%zx\r\n", data.size());
+        send(fmt::format("{:x}\r\n", data.size()));
     }
-    evbuffer_add(output, data.data(), data.size());
+    send(data);
     if (chunked_) {
-        evbuffer_add(output, "\r\n", 2);
+        send("\r\n");
     }
 }
 
@@ -223,7 +231,7 @@
     }
     if (chunked_ && !is_head_request_) {
         constexpr std::string_view last = "0\r\n\r\n";
-        bufferevent_write(channel_, last.data(), last.size());
+        send(last);
     }
     on_disconnected = nullptr;
     on_drained = nullptr;
@@ -302,10 +310,12 @@
     }
 }
 
+// The limit set by `close_when_idle` counts from the end of the response's transmission: until then
+// the caller cannot send its next request.
 millis caller_connection::idle_timeout() const
 {
     const millis configured = hooks_.limits().idle_timeout;
-    return std::min(configured, idle_limit_.value_or(configured));
+    return output_pending_ ? configured : std::min(configured, idle_limit_.value_or(configured));
 }
 
 // True if bytes have arrived that the parser has not consumed.
@@ -349,10 +359,17 @@
 void caller_connection::linger()
 {
     state_ = stage::lingering;
-    start_timer(linger_time);
     if (unsent_bytes() == 0) {
-        shutdown(bufferevent_getfd(channel_), SHUT_WR);
+        end_output();
+        return;
     }
+    start_timer(hooks_.limits().idle_timeout);
+}
+
+void caller_connection::end_output()
+{
+    shutdown(bufferevent_getfd(channel_), SHUT_WR);
+    start_timer(linger_time);
 }
 
 void caller_connection::close()
--- a/Source/caller_connection.h
+++ b/Source/caller_connection.h
@@ -106,7 +106,9 @@
     millis idle_timeout() const;
     bool has_unread_input() const;
     void on_timeout();
+    void send(std::string_view text);
     void linger();
+    void end_output();
     void close();
     void on_caller_disconnected();
 
@@ -123,6 +125,7 @@
     bool chunked_ = false;
     bool close_delimited_ = false; // the response body is delimited by the end of the connection
     bool is_head_request_ = false;
+    bool output_pending_ = false;      // written bytes that may not have been passed to the socket
     std::size_t discarded_bytes_ = 0;  // received after the last response
     bool close_announced_ = false;     // the latest response carried `Connection: close`
     std::optional<millis> idle_limit_; // set by `close_when_idle`
--- a/Tests/Relay/relay_harness.cpp
+++ b/Tests/Relay/relay_harness.cpp
@@ -268,7 +268,7 @@
 void scripted_caller::poll()
 {
     flush();
-    if (socket_ >= 0 && !ended_) {
+    if (socket_ >= 0 && reading_ && !ended_) {
         ended_ = read_into(socket_, received_);
     }
 }
--- a/Tests/Relay/relay_harness.h
+++ b/Tests/Relay/relay_harness.h
@@ -92,6 +92,9 @@
     void send(const std::string& text);
     void close();
     void poll();
+    /// Reads nothing until `resume_reading` is called.
+    void stop_reading() { reading_ = false; }
+    void resume_reading() { reading_ = true; }
     /// All bytes received so far.
     const std::string& received() const { return received_; }
     /// Whether the relay has closed the connection.
@@ -103,6 +106,7 @@
     void flush();
 
     int socket_ = -1;
+    bool reading_ = true;
     bool ended_ = false;
     std::string unsent_;
     std::string received_;
--- a/Tests/Relay/relay_shutdown_test.cpp
+++ b/Tests/Relay/relay_shutdown_test.cpp
@@ -177,6 +177,47 @@
     expect_served(caller, 1);
 }
 
+// Guards against an answer that is cut off: a slow caller had not received all of its response when
+// its connection was closed, as idle (false) or after an announced close (true).
+class relay_shutdown_slow_caller : public testing::TestWithParam<bool> {};
+
+TEST_P(relay_shutdown_slow_caller, receives_the_whole_response)
+{
+    const bool close_announced = GetParam();
+    constexpr std::size_t body_bytes = 20000000; // more than the sockets hold
+    constexpr millis pause = 1200ms; // more than the time limits of a closing connection
+    relay_harness fleet({.lame_duck_time = 10ms,
+                         .lame_duck_idle_time = 50ms,
+                         .limits = {.stop_grace = 20000ms},
+                         .exchange = {.max_unsent = 2 * body_bytes}});
+    scripted_backend& shop = fleet.add_backend("s1");
+    fleet.configure(relay_harness::configuration());
+    scripted_caller& caller = fleet.add_caller();
+    caller.send(get("/view/"));
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 1; }));
+    if (close_announced) {
+        fleet.relay().begin_stop();
+    }
+    const std::string response = response_of("q1", std::string(body_bytes, 'x'));
+    constexpr std::size_t part_bytes = 65536;
+    shop.respond(0, response.substr(0, part_bytes));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.status() == 200; }));
+    ASSERT_EQ(caller.received().find("Connection: close") != std::string::npos, close_announced);
+    caller.stop_reading();
+    if (!close_announced) {
+        fleet.relay().begin_stop();
+    }
+    for (std::size_t at = part_bytes; at < response.size(); at += part_bytes) {
+        shop.respond(0, response.substr(at, part_bytes));
+        fleet.run_for(0ms);
+    }
+    fleet.run_for(pause);
+    caller.resume_reading();
+    EXPECT_TRUE(fleet.wait_for([&] { return caller.received().size() > body_bytes; }));
+}
+
+INSTANTIATE_TEST_SUITE_P(close, relay_shutdown_slow_caller, testing::Bool());
+
 TEST_F(relay_shutdown, closes_idle_connections_after_the_listener)
 {
     scripted_caller& caller = add_idle_caller();
