Announce the close in every response that begins after a stop

Callers of a stopping entry could get a response without Connection: close, keep the connection and lose their next request when the process exited: a request that had arrived before SIGTERM was answered, or began its stream, after it.

Cause: whether a response announces the close was decided when its request arrived. The HTTP server now knows that it is stopping, and the decision is made when the headers are written. evhttp closes a connection after a response that announces it.

Evidence: entry_shutdown_responses.announce_the_close_if_they_begin_after_the_stop failed for whole and for streamed responses while the decision was made at the request's arrival, and passes with this change.

--- a/Source/caller_server.cpp
+++ b/Source/caller_server.cpp
@@ -86,6 +86,7 @@
 void caller_server::begin_stop()
 {
     stopping_ = true;
+    server_->begin_stop();
     grace_ends_at_ = core_.now() + options_.stop_grace;
 }
 
@@ -115,9 +116,6 @@
 
 void caller_server::on_request(const exchange& caller)
 {
-    if (stopping_) {
-        caller->close_after_reply();
-    }
     if (caller->path() == "/healthz") {
         caller->reply(http_ok, "text/plain", "ok\n");
         return;
--- a/Source/http_server.cpp
+++ b/Source/http_server.cpp
@@ -103,7 +103,7 @@
     for (const http_header& row : headers) {
         evhttp_add_header(output, row.name.c_str(), row.value.c_str());
     }
-    if (close_after_) {
+    if (server_->stopping_) {
         evhttp_add_header(output, "Connection", "close");
     }
 }
@@ -218,6 +218,7 @@
     auto exchange = std::make_shared<http_exchange>(request);
     exchange->self_ = exchange;
     auto* server = static_cast<http_server*>(user);
+    exchange->server_ = server;
     ++server->open_;
     auto tracker = std::make_unique<http_exchange::exchange_tracker>();
     tracker->server = server;
--- a/Source/http_server.h
+++ b/Source/http_server.h
@@ -17,6 +17,8 @@
 
 namespace cyclamen {
 
+class http_server;
+
 /// Request received by a server, with the means to respond to it. Ownership is shared between the
 /// code that responds and, until the response ends, the object itself. `on_closed` reports that the
 /// caller has disconnected.
@@ -50,9 +52,6 @@
 
     /// True if the response has ended or the caller has disconnected.
     bool closed() const { return request_ == nullptr; }
-    /// Sends `Connection: close` with the response, so that the caller opens a new connection for
-    /// its next request.
-    void close_after_reply() { close_after_ = true; }
 
     /// Called once if the caller disconnects before the response is complete.
     std::function<void()> on_closed;
@@ -71,7 +70,7 @@
     std::string path_;
     std::string query_;
     std::string body_;
-    bool close_after_ = false;
+    const http_server* server_ = nullptr; // outlives `request_`
     std::shared_ptr<http_exchange> self_; // keeps the object alive while the connection may call it
 };
 
@@ -93,6 +92,10 @@
     http_server& operator=(const http_server&) = delete;
     ~http_server();
 
+    /// From now on, responses carry `Connection: close`, so that callers open a new connection for
+    /// their next request.
+    void begin_stop() { stopping_ = true; }
+
     /// Number of requests whose response has not been sent completely.
     std::size_t open_requests() const { return open_; }
 
@@ -103,6 +106,7 @@
     evhttp* http_;
     handler on_request_;
     std::size_t open_ = 0;
+    bool stopping_ = false;
 };
 
 } // namespace cyclamen
