Keep a stopping entry up until its callers are quiet

Callers that went on using their open connections at a stopping entry lost requests: the process exited as soon as the grace had passed and no request was open, with connections in its listen queue and with parts of requests that it had read.

Cause: caller_server::idle() counted whole requests only, and the listener stayed open until the exit. Now the listener closes at the end of the grace, after the connections in its queue have been accepted, and the process exits when it has accepted, read and written nothing for 200 ms. A caller that sends byte by byte can delay the exit by 5 s at most. Responses announce the close, so callers that are in use leave meanwhile. A request sent on a connection that has been quiet for longer can still meet the exit.

Evidence: two tests of entry_shutdown_callers failed before, get_a_response_if_they_send_a_request_slowly_after_the_grace (no response) and are_accepted_or_refused_when_the_grace_has_passed (the process exited without the wait). They pass now, three times in a row. cannot_keep_the_process_from_its_exit passed before too; it guards the bound.

--- a/Source/caller_server.cpp
+++ b/Source/caller_server.cpp
@@ -20,6 +20,12 @@
 constexpr std::string_view service_prefix = "/services/";
 constexpr int http_ok = 200;
 constexpr int http_unavailable = 503;
+// A caller that uses its open connection within this time gets its response, which announces the
+// close, before the process exits.
+constexpr millis quiet_time_before_exit = 200ms;
+// Bounds the wait for quiet connections, for a caller that sends a request byte by byte.
+constexpr millis max_quiet_wait = 5000ms;
+constexpr millis accept_retry_interval = 1ms;
 
 // Decides how a call of a plain service may be retried; `repeatable` is the service's setting,
 // `keyed` is true if the caller sent an idempotency key.
@@ -87,12 +93,23 @@
 {
     stopping_ = true;
     server_->begin_stop();
-    grace_ends_at_ = core_.now() + options_.stop_grace;
+    quiet_wait_ends_at_ = core_.now() + options_.stop_grace + max_quiet_wait;
+    listener_timer_ = core_.after(options_.stop_grace, [this] { close_listener(); });
+}
+
+void caller_server::close_listener()
+{
+    if (!server_->try_close_listener()) {
+        listener_timer_ = core_.after(accept_retry_interval, [this] { close_listener(); });
+    }
 }
 
 bool caller_server::idle() const
 {
-    return core_.now() >= grace_ends_at_ && *open_requests_ == 0 && server_->open_requests() == 0;
+    if (server_->listening() || *open_requests_ > 0 || server_->open_requests() > 0) {
+        return false;
+    }
+    return server_->quiet_time() >= quiet_time_before_exit || core_.now() >= quiet_wait_ends_at_;
 }
 
 void caller_server::send_problem(const exchange& caller, const problem_document& problem) const
--- a/Source/caller_server.h
+++ b/Source/caller_server.h
@@ -47,6 +47,7 @@
     using exchange = std::shared_ptr<http_exchange>;
     struct request_context;
 
+    void close_listener();
     void on_request(const exchange& caller);
     void on_chat_completion(const exchange& caller, const std::string& account);
     void on_service_call(const exchange& caller, const std::string& account);
@@ -64,7 +65,8 @@
     configuration_feed* configuration_ = nullptr;
     entry_dispatcher* dispatcher_ = nullptr;
     std::unique_ptr<http_server> server_;
-    millis grace_ends_at_{0};
+    kernel::timer listener_timer_;
+    millis quiet_wait_ends_at_{0};
     bool stopping_ = false;
     std::shared_ptr<std::size_t> open_requests_ = std::make_shared<std::size_t>(0);
 };
--- a/Source/http_server.cpp
+++ b/Source/http_server.cpp
@@ -6,6 +6,7 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <fmt/format.h>
+#include <poll.h>
 
 #include <stdexcept>
 
@@ -199,7 +200,9 @@
     evhttp_set_timeout(http_, static_cast<int>(options.idle_timeout.count() / 1000));
     evhttp_set_default_content_type(http_, nullptr);
     evhttp_set_gencb(http_, &http_server::on_evhttp_request, this);
-    if (evhttp_bind_socket(http_, address.host.c_str(), address.port) != 0) {
+    evhttp_set_bevcb(http_, &http_server::on_accept, this);
+    listener_ = evhttp_bind_socket_with_handle(http_, address.host.c_str(), address.port);
+    if (listener_ == nullptr) {
         evhttp_free(http_);
         throw std::runtime_error(fmt::format(
             "cannot listen at {}: the address must belong to this machine and its port must be "
@@ -213,6 +216,40 @@
     evhttp_free(http_);
 }
 
+bool http_server::try_close_listener()
+{
+    if (listener_ == nullptr) {
+        return true;
+    }
+    // Closing the listener resets the connections in its queue.
+    pollfd queue{.fd = evhttp_bound_socket_get_fd(listener_), .events = POLLIN, .revents = 0};
+    if (poll(&queue, 1, 0) > 0) {
+        return false;
+    }
+    evhttp_del_accept_socket(http_, listener_);
+    listener_ = nullptr;
+    return true;
+}
+
+millis http_server::quiet_time() const
+{
+    return std::chrono::duration_cast<millis>(std::chrono::steady_clock::now() - last_transfer_);
+}
+
+bufferevent* http_server::on_accept(event_base* loop, void* user)
+{
+    static_cast<http_server*>(user)->last_transfer_ = std::chrono::steady_clock::now();
+    bufferevent* connection = bufferevent_socket_new(loop, -1, 0);
+    evbuffer_add_cb(bufferevent_get_input(connection), &http_server::on_transfer, user);
+    evbuffer_add_cb(bufferevent_get_output(connection), &http_server::on_transfer, user);
+    return connection;
+}
+
+void http_server::on_transfer(evbuffer* /*buffer*/, const evbuffer_cb_info* /*change*/, void* user)
+{
+    static_cast<http_server*>(user)->last_transfer_ = std::chrono::steady_clock::now();
+}
+
 void http_server::on_evhttp_request(evhttp_request* request, void* user)
 {
     auto exchange = std::make_shared<http_exchange>(request);
--- a/Source/http_server.h
+++ b/Source/http_server.h
@@ -4,6 +4,7 @@
 #include "net_address.h"
 #include "time_types.h"
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -11,8 +12,12 @@
 #include <string_view>
 #include <vector>
 
+struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
 struct event_base;
 struct evhttp;
+struct evhttp_bound_socket;
 struct evhttp_request;
 
 namespace cyclamen {
@@ -96,14 +101,26 @@
     /// their next request.
     void begin_stop() { stopping_ = true; }
 
+    /// Closes the listener if no connection waits to be accepted.  Returns false otherwise; the
+    /// event loop then accepts the connections, and the function is to be called again.
+    bool try_close_listener();
+    bool listening() const { return listener_ != nullptr; }
+
+    /// Time since a connection was accepted or bytes of any connection were read or written.
+    millis quiet_time() const;
+
     /// Number of requests whose response has not been sent completely.
     std::size_t open_requests() const { return open_; }
 
 private:
     friend class http_exchange;
     static void on_evhttp_request(evhttp_request* request, void* user);
+    static bufferevent* on_accept(event_base* loop, void* user);
+    static void on_transfer(evbuffer* buffer, const evbuffer_cb_info* change, void* user);
 
     evhttp* http_;
+    evhttp_bound_socket* listener_ = nullptr;
+    std::chrono::steady_clock::time_point last_transfer_ = std::chrono::steady_clock::now();
     handler on_request_;
     std::size_t open_ = 0;
     bool stopping_ = false;
--- a/Tests/Entries/entry_shutdown_test.cpp
+++ b/Tests/Entries/entry_shutdown_test.cpp
@@ -1,6 +1,10 @@
 // Tests what callers see of a program that stops gracefully while its event loop is busy.
 
+#include "caller_server.h"
+#include "configuration_feed.h"
+#include "entry_dispatcher.h"
 #include "http_server.h"
+#include "instance_directory.h"
 #include "kernel.h"
 #include "service.h"
 
@@ -10,6 +14,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <string>
 
 using namespace cyclamen;
@@ -31,14 +36,20 @@
     return ntohs(address.sin_port);
 }
 
-int connect_to(std::uint16_t port)
+sockaddr_in loopback(std::uint16_t port)
 {
-    const int caller = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     address.sin_port = htons(port);
-    EXPECT_EQ(connect(caller, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+    return address;
+}
+
+int connect_to(std::uint16_t port)
+{
+    const int caller = socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in address = loopback(port);
+    EXPECT_EQ(connect(caller, reinterpret_cast<const sockaddr*>(&address), sizeof(address)), 0);
     return caller;
 }
 
@@ -75,11 +86,15 @@
     }
 }
 
+void send_text(int caller, const std::string& text)
+{
+    EXPECT_EQ(send(caller, text.data(), text.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(text.size()));
+}
+
 void send_request(int caller, const std::string& path = "/")
 {
-    const std::string request = "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n";
-    EXPECT_EQ(send(caller, request.data(), request.size(), 0),
-              static_cast<ssize_t>(request.size()));
+    send_text(caller, "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n");
 }
 
 // Answers a request once the stop has begun.
@@ -118,6 +133,36 @@
     bool streams_;
 };
 
+// An entry's server for callers, without a platform.
+class entry_shutdown_callers : public testing::Test {
+protected:
+    static constexpr millis stop_grace = 100ms;
+
+    entry_shutdown_callers() : core({.program = "test", .instance = "i1", .random_seed = 1})
+    {
+        const net_address nowhere{.host = "127.0.0.1", .port = free_port()};
+        core.add(std::make_unique<instance_directory>(core,
+                                                      instance_directory_options{.list = nowhere}));
+        core.add(
+            std::make_unique<configuration_feed>(core, configuration_feed_options{.log = nowhere}));
+        core.add(std::make_unique<entry_dispatcher>(core, entry_dispatcher_options{}));
+        core.add(std::make_unique<caller_server>(
+            core, caller_server_options{.listen = {.host = "127.0.0.1", .port = port},
+                                        .stop_grace = stop_grace}));
+    }
+
+    void block_loop(millis duration) const
+    {
+        const millis until = core.now() + duration;
+        while (core.now() < until) {
+            // busy
+        }
+    }
+
+    std::uint16_t port = free_port();
+    kernel core;
+};
+
 class entry_shutdown_responses : public testing::TestWithParam<bool> {};
 
 } // namespace
@@ -172,3 +217,68 @@
     ASSERT_GT(count, 0) << "the process exited without a response";
     EXPECT_TRUE(std::string(buffer, static_cast<std::size_t>(count)).ends_with("served"));
 }
+
+// Guards against a lost request: the process exited at the end of the grace while the rest of a
+// request was on its way.
+TEST_F(entry_shutdown_callers, get_a_response_if_they_send_a_request_slowly_after_the_grace)
+{
+    int caller = -1;
+    kernel::timer rest;
+    kernel::timer first;
+    const kernel::timer stop = core.after(1ms, [&] {
+        caller = connect_to(port);
+        core.stop();
+        first = core.after(stop_grace - 10ms, [&] {
+            send_text(caller, "GET /healthz HTTP/1.1\r\n");
+            rest = core.after(100ms, [&] { send_text(caller, "Host: a\r\n\r\n"); });
+        });
+    });
+    EXPECT_EQ(core.run(), 0);
+    const std::string response = receive(caller);
+    close(caller);
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 200")) << response;
+    EXPECT_NE(response.find("Connection: close\r\n"), std::string::npos) << response;
+}
+
+// Guards against reset connections: the listener stayed open until the process exited with the
+// connections that waited in its queue.
+TEST_F(entry_shutdown_callers, are_accepted_or_refused_when_the_grace_has_passed)
+{
+    int waiting = -1;
+    int late = -1;
+    kernel::timer connects_again;
+    const kernel::timer stop = core.after(1ms, [&] {
+        core.stop();
+        block_loop(stop_grace + 20ms);
+        waiting = connect_to(port);
+        send_request(waiting, "/healthz");
+        connects_again = core.after(100ms, [&] {
+            late = socket(AF_INET, SOCK_STREAM, 0);
+            const sockaddr_in address = loopback(port);
+            EXPECT_NE(connect(late, reinterpret_cast<const sockaddr*>(&address), sizeof(address)),
+                      0);
+            EXPECT_EQ(errno, ECONNREFUSED);
+        });
+    });
+    EXPECT_EQ(core.run(), 0);
+    EXPECT_NE(late, -1) << "the process exited without waiting for quiet connections";
+    const std::string response = receive(waiting);
+    close(waiting);
+    close(late);
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 200")) << response;
+}
+
+// Guards against a process that never exits: a caller that sends a request byte by byte.
+TEST_F(entry_shutdown_callers, cannot_keep_the_process_from_its_exit)
+{
+    int caller = -1;
+    kernel::timer drip;
+    const kernel::timer stop = core.after(1ms, [&] {
+        caller = connect_to(port);
+        send_text(caller, "GET /healthz HTTP/1.1\r\nA: ");
+        core.stop();
+        drip = core.every(50ms, [&] { send_text(caller, "a"); });
+    });
+    EXPECT_EQ(core.run(), 0);
+    close(caller);
+}
