Finish the replies to operators and status checks before the exit

A state dump or counters requested shortly before a stop could be cut off in the middle: the process exited while the reply was being sent.

Cause: operator_server and status_server did not define idle(), so the process did not wait for them. They now are idle when no reply is open, or 5 s after the stop, so that a client that does not read cannot delay the exit further. Their responses announce the close like those to callers.

--- a/Source/operator_server.cpp
+++ b/Source/operator_server.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr int http_ok = 200;
+// Bounds the wait for replies after a stop, for clients that do not read them.
+constexpr millis max_reply_wait = 5000ms;
 
 int status_of(command_reply_kind kind)
 {
@@ -51,6 +53,17 @@
                                             [this](const exchange& caller) { on_request(caller); });
 }
 
+void operator_server::begin_stop()
+{
+    server_->begin_stop();
+    reply_wait_ends_at_ = core_.now() + max_reply_wait;
+}
+
+bool operator_server::idle() const
+{
+    return server_->open_requests() == 0 || core_.now() >= reply_wait_ends_at_;
+}
+
 std::string operator_server::authenticate_operator(const exchange& caller) const
 {
     constexpr std::string_view scheme = "Bearer ";
--- a/Source/operator_server.h
+++ b/Source/operator_server.h
@@ -28,6 +28,8 @@
 
     std::string_view name() const override { return "operators"; }
     void start() override;
+    void begin_stop() override;
+    bool idle() const override;
     nlohmann::json describe() const override;
 
 private:
@@ -42,6 +44,7 @@
     operator_server_options options_;
     command_executor* commands_ = nullptr;
     std::unique_ptr<http_server> server_;
+    millis reply_wait_ends_at_{0};
 };
 
 } // namespace cyclamen
--- a/Source/status_server.cpp
+++ b/Source/status_server.cpp
@@ -11,6 +11,8 @@
 constexpr int http_ok = 200;
 constexpr int http_not_found = 404;
 constexpr int http_unavailable = 503;
+// Bounds the wait for replies after a stop, for clients that do not read them.
+constexpr millis max_reply_wait = 5000ms;
 
 } // namespace
 
@@ -24,6 +26,19 @@
         [this](const std::shared_ptr<http_exchange>& exchange) { on_metrics(exchange); });
 }
 
+void status_server::begin_stop()
+{
+    readiness_->begin_stop();
+    metrics_->begin_stop();
+    reply_wait_ends_at_ = core_.now() + max_reply_wait;
+}
+
+bool status_server::idle() const
+{
+    return (readiness_->open_requests() == 0 && metrics_->open_requests() == 0) ||
+           core_.now() >= reply_wait_ends_at_;
+}
+
 void status_server::on_readiness(const std::shared_ptr<http_exchange>& exchange)
 {
     if (exchange->path() != options_.readiness_path) {
--- a/Source/status_server.h
+++ b/Source/status_server.h
@@ -30,6 +30,8 @@
 
     std::string_view name() const override { return "status"; }
     void start() override;
+    void begin_stop() override;
+    bool idle() const override;
     nlohmann::json describe() const override;
 
 private:
@@ -41,6 +43,7 @@
     std::unique_ptr<http_server> readiness_;
     std::unique_ptr<http_server> metrics_;
     bool last_ready_ = false;
+    millis reply_wait_ends_at_{0};
 };
 
 } // namespace cyclamen
--- a/Tests/Entries/entry_shutdown_test.cpp
+++ b/Tests/Entries/entry_shutdown_test.cpp
@@ -3,10 +3,13 @@
 #include "caller_server.h"
 #include "configuration_feed.h"
 #include "entry_dispatcher.h"
+#include "hashing.h"
 #include "http_server.h"
 #include "instance_directory.h"
 #include "kernel.h"
+#include "operator_server.h"
 #include "service.h"
+#include "status_server.h"
 
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
@@ -163,6 +166,44 @@
     kernel core;
 };
 
+// Makes the state dump larger than the buffers of a connection.
+class large_state : public service {
+public:
+    std::string_view name() const override { return "large"; }
+    void start() override {}
+    nlohmann::json describe() const override { return std::string(size, 'x'); }
+
+    static constexpr std::size_t size = 32U << 20U;
+};
+
+// Stops a program after it has received a request for its state dump, and only then reads the
+// response, which is returned.
+std::string read_state_after_stop(kernel& core, std::uint16_t port, const std::string& headers)
+{
+    int caller = -1;
+    std::string response;
+    kernel::timer stop;
+    kernel::timer reads;
+    const kernel::timer connects = core.after(1ms, [&] {
+        caller = connect_to(port);
+        send_text(caller, "GET /state HTTP/1.1\r\nHost: a\r\n" + headers + "\r\n");
+        stop = core.every(1ms, [&] {
+            char first = 0;
+            if (recv(caller, &first, 1, MSG_DONTWAIT | MSG_PEEK) != 1) {
+                return;
+            }
+            stop = kernel::timer();
+            core.stop();
+            reads = core.after(
+                200ms, [&] { reads = core.every(1ms, [&] { response += receive(caller); }); });
+        });
+    });
+    EXPECT_EQ(core.run(), 0);
+    response += receive(caller);
+    close(caller);
+    return response;
+}
+
 class entry_shutdown_responses : public testing::TestWithParam<bool> {};
 
 } // namespace
@@ -282,3 +323,33 @@
     EXPECT_EQ(core.run(), 0);
     close(caller);
 }
+
+// Guards against a truncated response: the process exited while a reply of the operators' server
+// was being sent.
+TEST(entry_shutdown, finishes_the_replies_of_the_server_for_operators)
+{
+    const std::uint16_t port = free_port();
+    kernel core({.program = "test", .instance = "i1", .random_seed = 1});
+    core.add(std::make_unique<large_state>());
+    core.add(std::make_unique<operator_server>(
+        core, operator_server_options{.listen = {.host = "127.0.0.1", .port = port},
+                                      .credentials = {{"ann", sha256_hex("key")}}}));
+    const std::string response = read_state_after_stop(core, port, "Authorization: Bearer key\r\n");
+    EXPECT_GT(response.size(), large_state::size);
+}
+
+// Guards against a truncated response: the process exited while a reply of the status server was
+// being sent.
+TEST(entry_shutdown, finishes_the_replies_of_the_status_server)
+{
+    const std::uint16_t port = free_port();
+    kernel core({.program = "test", .instance = "i1", .random_seed = 1});
+    core.add(std::make_unique<large_state>());
+    core.add(std::make_unique<status_server>(
+        core, status_server_options{.readiness = {.host = "127.0.0.1", .port = free_port()},
+                                    .readiness_path = "/ready",
+                                    .metrics = {.host = "127.0.0.1", .port = port},
+                                    .ready = [] { return true; }}));
+    const std::string response = read_state_after_stop(core, port, "");
+    EXPECT_GT(response.size(), large_state::size);
+}
