Send what was written before a response is aborted

A caller whose stream failed got a closed connection without the error event that explains it; if the stream failed right after its beginning, not even the headers.

Cause: http_exchange::abort() freed the connection at once, with the bytes in its output buffer. It now waits until the written chunks have been passed to the socket; the exchange counts as closed meanwhile, and as an open request of the server, so the process does not exit before.

Evidence: entry_shutdown.delivers_what_was_written_before_a_response_is_aborted received nothing before and receives the headers and the chunk now.

--- a/Source/http_server.cpp
+++ b/Source/http_server.cpp
@@ -37,14 +37,6 @@
     return "?";
 }
 
-void on_chunk_written(evhttp_connection* /*connection*/, void* user)
-{
-    const std::function<void()> notify = static_cast<http_exchange*>(user)->on_drained;
-    if (notify) {
-        notify();
-    }
-}
-
 } // namespace
 
 // Tracks one request until its response is sent or its connection closes.
@@ -119,7 +111,7 @@
 void http_exchange::reply(int status, const std::string& content_type, std::string_view body,
                           const std::vector<http_header>& headers)
 {
-    if (request_ == nullptr) {
+    if (closed()) {
         return;
     }
     const std::shared_ptr<http_exchange> hold = self_;
@@ -135,7 +127,7 @@
 void http_exchange::begin_stream(int status, const std::string& content_type,
                                  const std::vector<http_header>& headers)
 {
-    if (request_ == nullptr) {
+    if (closed()) {
         return;
     }
     add_headers(content_type, headers);
@@ -144,18 +136,19 @@
 
 void http_exchange::write(std::string_view data)
 {
-    if (request_ == nullptr || data.empty()) {
+    if (closed() || data.empty()) {
         return;
     }
     evbuffer* buffer = evbuffer_new();
     evbuffer_add(buffer, data.data(), data.size());
-    evhttp_send_reply_chunk_with_cb(request_, buffer, on_chunk_written, this);
+    chunk_pending_ = true;
+    evhttp_send_reply_chunk_with_cb(request_, buffer, &http_exchange::on_written, this);
     evbuffer_free(buffer);
 }
 
 void http_exchange::end_stream()
 {
-    if (request_ == nullptr) {
+    if (closed()) {
         return;
     }
     const std::shared_ptr<http_exchange> hold = self_;
@@ -164,11 +157,35 @@
     evhttp_send_reply_end(request);
 }
 
+void http_exchange::on_written(evhttp_connection* /*connection*/, void* user)
+{
+    auto* exchange = static_cast<http_exchange*>(user);
+    exchange->chunk_pending_ = false;
+    if (exchange->aborting_) {
+        exchange->close_connection();
+        return;
+    }
+    const std::function<void()> notify = exchange->on_drained;
+    if (notify) {
+        notify();
+    }
+}
+
 void http_exchange::abort()
 {
-    if (request_ == nullptr) {
+    if (closed()) {
         return;
     }
+    on_closed = nullptr;
+    on_drained = nullptr;
+    aborting_ = true;
+    if (!chunk_pending_) {
+        close_connection();
+    }
+}
+
+void http_exchange::close_connection()
+{
     const std::shared_ptr<http_exchange> hold = self_;
     evhttp_connection* connection = evhttp_request_get_connection(request_);
     detach();
--- a/Source/http_server.h
+++ b/Source/http_server.h
@@ -18,6 +18,7 @@
 struct event_base;
 struct evhttp;
 struct evhttp_bound_socket;
+struct evhttp_connection;
 struct evhttp_request;
 
 namespace cyclamen {
@@ -51,12 +52,12 @@
     /// Sends a chunk of a response begun with `begin_stream()`.
     void write(std::string_view data);
     void end_stream();
-    /// Closes the connection in the middle of a response so that the caller can detect that the
-    /// response is incomplete.
+    /// Closes the connection in the middle of a response, after the chunks written so far have been
+    /// sent, so that the caller can detect that the response is incomplete.
     void abort();
 
-    /// True if the response has ended or the caller has disconnected.
-    bool closed() const { return request_ == nullptr; }
+    /// True if the response has ended or was aborted, or the caller has disconnected.
+    bool closed() const { return request_ == nullptr || aborting_; }
 
     /// Called once if the caller disconnects before the response is complete.
     std::function<void()> on_closed;
@@ -68,6 +69,8 @@
     struct exchange_tracker;
     void add_headers(const std::string& content_type, const std::vector<http_header>& headers);
     void on_caller_disconnected();
+    static void on_written(evhttp_connection* connection, void* user);
+    void close_connection();
     void detach();
 
     evhttp_request* request_;
@@ -76,6 +79,8 @@
     std::string query_;
     std::string body_;
     const http_server* server_ = nullptr; // outlives `request_`
+    bool chunk_pending_ = false;          // a written chunk has not been passed to the socket
+    bool aborting_ = false;
     std::shared_ptr<http_exchange> self_; // keeps the object alive while the connection may call it
 };
 
--- a/Tests/Entries/entry_shutdown_test.cpp
+++ b/Tests/Entries/entry_shutdown_test.cpp
@@ -353,3 +353,37 @@
     const std::string response = read_state_after_stop(core, port, "");
     EXPECT_GT(response.size(), large_state::size);
 }
+
+// Guards against a lost error event: the connection was freed with the bytes that had been queued
+// before the response was aborted.
+TEST(entry_shutdown, delivers_what_was_written_before_a_response_is_aborted)
+{
+    const std::uint16_t port = free_port();
+    kernel core({.program = "test", .instance = "i1", .random_seed = 1});
+    http_server server(core.loop(), {.host = "127.0.0.1", .port = port}, {},
+                       [](const std::shared_ptr<http_exchange>& caller) {
+                           caller->begin_stream(http_ok, "text/event-stream");
+                           caller->write("data: {}\n\n");
+                           caller->abort();
+                           EXPECT_TRUE(caller->closed());
+                       });
+    int caller = -1;
+    std::string response;
+    kernel::timer reads;
+    const kernel::timer connects = core.after(1ms, [&] {
+        caller = connect_to(port);
+        send_request(caller);
+        reads = core.every(1ms, [&] {
+            response += receive(caller);
+            char next = 0;
+            if (recv(caller, &next, 1, MSG_DONTWAIT | MSG_PEEK) == 0) {
+                reads = kernel::timer();
+                core.stop();
+            }
+        });
+    });
+    EXPECT_EQ(core.run(), 0);
+    close(caller);
+    EXPECT_TRUE(response.ends_with("data: {}\n\n\r\n")) << response;
+    EXPECT_EQ(server.open_requests(), 0U);
+}
