--- a/Tests/Entries/entry_shutdown_test.cpp
+++ b/Tests/Entries/entry_shutdown_test.cpp
@@ -33,8 +33,9 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
-    bind(probe, reinterpret_cast<sockaddr*>(&address), size);
-    getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
+    const bool bound = bind(probe, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
+                       getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size) == 0;
+    EXPECT_TRUE(bound);
     close(probe);
     return ntohs(address.sin_port);
 }
