--- a/Source/http_server.cpp
+++ b/Source/http_server.cpp
@@ -6,6 +6,7 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <fmt/format.h>
+#include <poll.h>
 
 #include <stdexcept>
 
@@ -36,14 +37,6 @@
     return "?";
 }
 
-void on_chunk_written(evhttp_connection* /*connection*/, void* user)
-{
-    const std::function<void()> notify = static_cast<http_exchange*>(user)->on_drained;
-    if (notify) {
-        notify();
-    }
-}
-
 } // namespace
 
 // Tracks one request until its response is sent or its connection closes.
@@ -103,7 +96,7 @@
     for (const http_header& row : headers) {
         evhttp_add_header(output, row.name.c_str(), row.value.c_str());
     }
-    if (close_after_) {
+    if (server_->stopping_) {
         evhttp_add_header(output, "Connection", "close");
     }
 }
@@ -118,7 +111,7 @@
 void http_exchange::reply(int status, const std::string& content_type, std::string_view body,
                           const std::vector<http_header>& headers)
 {
-    if (request_ == nullptr) {
+    if (closed()) {
         return;
     }
     const std::shared_ptr<http_exchange> hold = self_;
@@ -134,7 +127,7 @@
 void http_exchange::begin_stream(int status, const std::string& content_type,
                                  const std::vector<http_header>& headers)
 {
-    if (request_ == nullptr) {
+    if (closed()) {
         return;
     }
     add_headers(content_type, headers);
@@ -143,18 +136,19 @@
 
 void http_exchange::write(std::string_view data)
 {
-    if (request_ == nullptr || data.empty()) {
+    if (closed() || data.empty()) {
         return;
     }
     evbuffer* buffer = evbuffer_new();
     evbuffer_add(buffer, data.data(), data.size());
-    evhttp_send_reply_chunk_with_cb(request_, buffer, on_chunk_written, this);
+    chunk_pending_ = true;
+    evhttp_send_reply_chunk_with_cb(request_, buffer, &http_exchange::on_written, this);
     evbuffer_free(buffer);
 }
 
 void http_exchange::end_stream()
 {
-    if (request_ == nullptr) {
+    if (closed()) {
         return;
     }
     const std::shared_ptr<http_exchange> hold = self_;
@@ -163,11 +157,35 @@
     evhttp_send_reply_end(request);
 }
 
+void http_exchange::on_written(evhttp_connection* /*connection*/, void* user)
+{
+    auto* exchange = static_cast<http_exchange*>(user);
+    exchange->chunk_pending_ = false;
+    if (exchange->aborting_) {
+        exchange->close_connection();
+        return;
+    }
+    const std::function<void()> notify = exchange->on_drained;
+    if (notify) {
+        notify();
+    }
+}
+
 void http_exchange::abort()
 {
-    if (request_ == nullptr) {
+    if (closed()) {
         return;
     }
+    on_closed = nullptr;
+    on_drained = nullptr;
+    aborting_ = true;
+    if (!chunk_pending_) {
+        close_connection();
+    }
+}
+
+void http_exchange::close_connection()
+{
     const std::shared_ptr<http_exchange> hold = self_;
     evhttp_connection* connection = evhttp_request_get_connection(request_);
     detach();
@@ -199,7 +217,9 @@
     evhttp_set_timeout(http_, static_cast<int>(options.idle_timeout.count() / 1000));
     evhttp_set_default_content_type(http_, nullptr);
     evhttp_set_gencb(http_, &http_server::on_evhttp_request, this);
-    if (evhttp_bind_socket(http_, address.host.c_str(), address.port) != 0) {
+    evhttp_set_bevcb(http_, &http_server::on_accept, this);
+    listener_ = evhttp_bind_socket_with_handle(http_, address.host.c_str(), address.port);
+    if (listener_ == nullptr) {
         evhttp_free(http_);
         throw std::runtime_error(fmt::format(
             "cannot listen at {}: the address must belong to this machine and its port must be "
@@ -213,11 +233,46 @@
     evhttp_free(http_);
 }
 
+bool http_server::try_close_listener()
+{
+    if (listener_ == nullptr) {
+        return true;
+    }
+    // Closing the listener resets the connections in its queue.
+    pollfd queue{.fd = evhttp_bound_socket_get_fd(listener_), .events = POLLIN, .revents = 0};
+    if (poll(&queue, 1, 0) > 0) {
+        return false;
+    }
+    evhttp_del_accept_socket(http_, listener_);
+    listener_ = nullptr;
+    return true;
+}
+
+millis http_server::quiet_time() const
+{
+    return std::chrono::duration_cast<millis>(std::chrono::steady_clock::now() - last_transfer_);
+}
+
+bufferevent* http_server::on_accept(event_base* loop, void* user)
+{
+    static_cast<http_server*>(user)->last_transfer_ = std::chrono::steady_clock::now();
+    bufferevent* connection = bufferevent_socket_new(loop, -1, 0);
+    evbuffer_add_cb(bufferevent_get_input(connection), &http_server::on_transfer, user);
+    evbuffer_add_cb(bufferevent_get_output(connection), &http_server::on_transfer, user);
+    return connection;
+}
+
+void http_server::on_transfer(evbuffer* /*buffer*/, const evbuffer_cb_info* /*change*/, void* user)
+{
+    static_cast<http_server*>(user)->last_transfer_ = std::chrono::steady_clock::now();
+}
+
 void http_server::on_evhttp_request(evhttp_request* request, void* user)
 {
     auto exchange = std::make_shared<http_exchange>(request);
     exchange->self_ = exchange;
     auto* server = static_cast<http_server*>(user);
+    exchange->server_ = server;
     ++server->open_;
     auto tracker = std::make_unique<http_exchange::exchange_tracker>();
     tracker->server = server;
--- a/Source/http_server.h
+++ b/Source/http_server.h
@@ -4,6 +4,7 @@
 #include "net_address.h"
 #include "time_types.h"
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -11,12 +12,19 @@
 #include <string_view>
 #include <vector>
 
+struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
 struct event_base;
 struct evhttp;
+struct evhttp_bound_socket;
+struct evhttp_connection;
 struct evhttp_request;
 
 namespace cyclamen {
 
+class http_server;
+
 /// Request received by a server, with the means to respond to it. Ownership is shared between the
 /// code that responds and, until the response ends, the object itself. `on_closed` reports that the
 /// caller has disconnected.
@@ -44,15 +52,12 @@
     /// Sends a chunk of a response begun with `begin_stream()`.
     void write(std::string_view data);
     void end_stream();
-    /// Closes the connection in the middle of a response so that the caller can detect that the
-    /// response is incomplete.
+    /// Closes the connection in the middle of a response, after the chunks written so far have been
+    /// sent, so that the caller can detect that the response is incomplete.
     void abort();
 
-    /// True if the response has ended or the caller has disconnected.
-    bool closed() const { return request_ == nullptr; }
-    /// Sends `Connection: close` with the response, so that the caller opens a new connection for
-    /// its next request.
-    void close_after_reply() { close_after_ = true; }
+    /// True if the response has ended or was aborted, or the caller has disconnected.
+    bool closed() const { return request_ == nullptr || aborting_; }
 
     /// Called once if the caller disconnects before the response is complete.
     std::function<void()> on_closed;
@@ -64,6 +69,8 @@
     struct exchange_tracker;
     void add_headers(const std::string& content_type, const std::vector<http_header>& headers);
     void on_caller_disconnected();
+    static void on_written(evhttp_connection* connection, void* user);
+    void close_connection();
     void detach();
 
     evhttp_request* request_;
@@ -71,7 +78,9 @@
     std::string path_;
     std::string query_;
     std::string body_;
-    bool close_after_ = false;
+    const http_server* server_ = nullptr; // outlives `request_`
+    bool chunk_pending_ = false;          // a written chunk has not been passed to the socket
+    bool aborting_ = false;
     std::shared_ptr<http_exchange> self_; // keeps the object alive while the connection may call it
 };
 
@@ -93,16 +102,33 @@
     http_server& operator=(const http_server&) = delete;
     ~http_server();
 
+    /// From now on, responses carry `Connection: close`, so that callers open a new connection for
+    /// their next request.
+    void begin_stop() { stopping_ = true; }
+
+    /// Closes the listener if no connection waits to be accepted.  Returns false otherwise; the
+    /// event loop then accepts the connections, and the function is to be called again.
+    bool try_close_listener();
+    bool listening() const { return listener_ != nullptr; }
+
+    /// Time since a connection was accepted or bytes of any connection were read or written.
+    millis quiet_time() const;
+
     /// Number of requests whose response has not been sent completely.
     std::size_t open_requests() const { return open_; }
 
 private:
     friend class http_exchange;
     static void on_evhttp_request(evhttp_request* request, void* user);
+    static bufferevent* on_accept(event_base* loop, void* user);
+    static void on_transfer(evbuffer* buffer, const evbuffer_cb_info* change, void* user);
 
     evhttp* http_;
+    evhttp_bound_socket* listener_ = nullptr;
+    std::chrono::steady_clock::time_point last_transfer_ = std::chrono::steady_clock::now();
     handler on_request_;
     std::size_t open_ = 0;
+    bool stopping_ = false;
 };
 
 } // namespace cyclamen
