Read what the socket holds after a failed write

A caller whose server answered before it had read the whole request got the beginning of the response, or a 502, although the response had arrived whole.

Cause: when such a server closes, its reset fails the relay's next write. The call then ended as lost at once, with the rest of the response still in the socket. A call now parses what has arrived before any disconnection ends it. The look for the end of the connection stays in `read_arrived`, because it reports a disconnection itself.

--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -239,20 +239,21 @@
                (errno != EAGAIN && errno != EWOULDBLOCK);
     }
 
-    // Parses what has been read and what is in the socket at this moment.
-    void read_arrived()
+    bool in_progress(unsigned call) const
+    {
+        return call_open && calls == call && channel != nullptr;
+    }
+
+    // Parses what has been read and what is in the socket at this moment, also while reading is
+    // paused.
+    void read_socket()
     {
-        const std::shared_ptr<state> hold = shared_from_this();
         const unsigned call = calls;
-        const auto reading = [&] { return call_open && calls == call && channel != nullptr; };
-        if (!reading() || !connected) {
-            return;
-        }
         int waiting = 0;
         static_cast<void>(ioctl(bufferevent_getfd(channel), FIONREAD, &waiting));
         ignore_pause = true;
         read();
-        while (reading() && waiting > 0) {
+        while (in_progress(call) && waiting > 0) {
             evbuffer* input = bufferevent_get_input(channel);
             evbuffer_unfreeze(input, 0); // a bufferevent lets only itself add input
             const int count = evbuffer_read(input, bufferevent_getfd(channel), waiting);
@@ -264,8 +265,18 @@
             read();
         }
         ignore_pause = false;
+    }
+
+    void read_arrived()
+    {
+        const std::shared_ptr<state> hold = shared_from_this();
+        const unsigned call = calls;
+        if (!in_progress(call) || !connected) {
+            return;
+        }
+        read_socket();
         char byte = 0;
-        if (reading() &&
+        if (in_progress(call) &&
             recv(bufferevent_getfd(channel), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) == 0) {
             on_disconnected(BEV_EVENT_EOF | BEV_EVENT_READING);
         }
@@ -324,12 +335,13 @@
             finish(http_call_result::not_sent);
             return;
         }
+        // A write can fail before the response that arrived ahead of the reset has been read.
+        const unsigned call = calls;
+        read_socket();
+        if (!in_progress(call)) {
+            return;
+        }
         if ((what & BEV_EVENT_EOF) != 0 && response_started && !skipping_response) {
-            paused = false;
-            read(); // consume bytes that arrived before the end of the stream
-            if (!call_open) {
-                return;
-            }
             reader.feed_end();
             const bool whole = reader.complete() && reader.parse_error() == http_parse_error::none;
             close();
