Look for a server once more after a late wait timer

Callers whose request waited for a server got a 503, although one was listed while the event loop was busy.

Cause: after a busy period, the event loop runs expired timers before the input that lists servers. The wait timer therefore found the time for waiting used up, and no server. A wait that ends with a timer handled more than 5 ms late now goes on for one more interval, once, in which the loop handles what has arrived. The deadline of the request holds as before.

--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -6,8 +6,8 @@
 #include "relay_state.h"
 #include "retry_budgets.h"
 
-
 #include <algorithm>
+#include <utility>
 
 namespace cyclamen {
 
@@ -18,6 +18,8 @@
 constexpr int bad_gateway = 502;
 constexpr int unavailable = 503;
 constexpr int gateway_timeout = 504;
+// A timer that is handled later than this was held up by a busy event loop.
+constexpr millis max_timer_delay = 5ms;
 
 bool is_event_stream(const http_head& head)
 {
@@ -189,18 +191,29 @@
     const millis now = context_.core.now();
     if (!waiting_since_) {
         waiting_since_ = now;
+        wait_due_ = now;
+        late_wait_taken_ = false;
     }
     const auto share =
         std::chrono::duration_cast<millis>(route_->target * context_.options.wait_share);
     const millis max_wait = std::max(context_.options.choice_retry_interval, share);
-    if (now - *waiting_since_ >= max_wait) {
+    if (now - *waiting_since_ >= max_wait && !take_late_wait(now)) {
         give_up(std::string(choice.reason));
         return;
     }
+    wait_due_ = now + context_.options.choice_retry_interval;
     wait_timer_ =
         context_.core.after(context_.options.choice_retry_interval, [this] { attempt(); });
 }
 
+// Returns true once if the wait timer was handled late: after a busy period, the event loop runs
+// expired timers before the input that may list a server.
+bool relay_exchange::take_late_wait(millis now)
+{
+    const bool late = now - wait_due_ > max_timer_delay;
+    return late && !std::exchange(late_wait_taken_, true);
+}
+
 void relay_exchange::send(const backend_choice& choice)
 {
     backend& server = *choice.server;
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -84,6 +84,7 @@
     bool admit_request();
     void attempt();
     void wait_for_backend(const backend_choice& choice);
+    bool take_late_wait(millis now);
     void send(const backend_choice& choice);
     bool on_response_head(const http_head& head);
     void discard_response(attempt_outcome failure);
@@ -129,6 +130,8 @@
     millis started_at_{0};
     millis deadline_{0};
     std::optional<millis> waiting_since_; // set while no server accepts the request
+    millis wait_due_{0};                  // when the wait timer expires
+    bool late_wait_taken_ = false;        // a wait timer was handled late and led to one more wait
     kernel::timer deadline_timer_;
     kernel::timer wait_timer_;
 
