Use an HTTP response that arrived before its time-out was handled

Calls of `http_call` and `fetch` ended as lost, although the whole response had arrived: an agent then reports a failed attempt, and a reader of the log a log that does not answer.

Cause: after a busy period, the event loop runs the expired idle timer before it hands over input. In addition, libevent counts a timer from the start of the loop's iteration, so that a long callback used up its time. The time-out now handles what has arrived first, and ends the call only if that neither ended it nor restarted the timer. The timer updates the cached time when it is set, like those of the kernel.

--- a/Source/http_client.cpp
+++ b/Source/http_client.cpp
@@ -28,11 +28,12 @@
 
 } // namespace
 
-struct http_call::state {
+struct http_call::state : std::enable_shared_from_this<http_call::state> {
     client_connection connection;
     handlers receivers;
     millis idle_timeout;
     event* idle_timer = nullptr;
+    bool ended = false;
 
     state(event_base* loop, const http_client_request& request, handlers hooks)
         : connection(loop, request.server, {.connect_timeout = request.timeout}),
@@ -47,18 +48,25 @@
     void restart_timer() const
     {
         const timeval delay = to_timeval(idle_timeout);
+        // libevent counts a timer from the start of the loop's iteration, which may be long ago.
+        event_base_update_cache_time(event_get_base(idle_timer));
         event_add(idle_timer, &delay);
     }
 
     static void on_idle_timeout(evutil_socket_t /*socket*/, short /*what*/, void* user)
     {
-        auto* self = static_cast<state*>(user);
+        const std::shared_ptr<state> self = static_cast<state*>(user)->shared_from_this();
+        self->connection.read_arrived();
+        if (self->ended || event_pending(self->idle_timer, EV_TIMEOUT, nullptr) != 0) {
+            return; // the response has ended, or more of it had arrived
+        }
         self->connection.abandon();
         self->finish(http_call_result::lost);
     }
 
     void finish(http_call_result end)
     {
+        ended = true;
         event_del(idle_timer);
         const handlers callbacks = std::move(receivers);
         receivers = {};
