Bound the time and the size of a fetched response

A server that sent a byte now and then kept a `fetch` open for ever, so that an agent never probed its backend server again and an instance list was never read again. A server that sent as fast as it could filled 64 MiB of memory.

Cause: each byte restarted the only time limit, and the collected body had no limit but that of the parser. A fetch now ends as lost after four times its time-out or beyond 16 MiB of body. The new `client_connection_options::max_body_bytes` passes the limit to the parser; streamed calls keep their limits.

Evidence: endless_fetch.ends_although_bytes_keep_coming_slowly found no end within 5 s before, and ends_at_a_size_that_no_document_has collected bytes.

--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -1,7 +1,6 @@
 #include "client_connection.h"
 
 #include "event_time.h"
-#include "http_reader.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -82,7 +81,8 @@
         : loop(base), options(given),
           reader(http_message_type::response,
                  {.on_head = [this](http_head& head) { on_head_received(head); },
-                  .on_body = [this](std::string_view data) { on_body_received(data); }})
+                  .on_body = [this](std::string_view data) { on_body_received(data); }},
+                 {.body_bytes = given.max_body_bytes})
     {
     }
     state(const state&) = delete;
--- a/Source/client_connection.h
+++ b/Source/client_connection.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "http_message.h"
+#include "http_reader.h"
 #include "net_address.h"
 #include "time_types.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -26,6 +28,8 @@
     // Closes the connection if data or keep-alive probes stay unacknowledged for this long
     // (TCP_USER_TIMEOUT).
     millis tcp_user_timeout = 2000ms;
+    // A call whose response has a longer body ends as `lost`. To be set by whoever collects bodies.
+    std::size_t max_body_bytes = http_reader_limits{}.body_bytes;
 };
 
 /// Client side of an HTTP/1.1 connection: makes one call at a time and can be reused as long as
--- a/Source/http_client.cpp
+++ b/Source/http_client.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+// Limits of a response that is collected: a server in trouble may send bytes without end, each of
+// which restarts the idle timer.
+constexpr int max_fetch_timeouts = 4;
+constexpr std::size_t max_fetched_bytes = 16777216;
+
 http_head head_of(const http_client_request& request)
 {
     http_head head;
@@ -33,24 +38,34 @@
     handlers receivers;
     millis idle_timeout;
     event* idle_timer = nullptr;
+    event* total_timer = nullptr;
     bool ended = false;
 
     state(event_base* loop, const http_client_request& request, handlers hooks)
-        : connection(loop, request.server, {.connect_timeout = request.timeout}),
+        : connection(
+              loop, request.server,
+              {.connect_timeout = request.timeout, .max_body_bytes = request.max_body_bytes}),
           receivers(std::move(hooks)), idle_timeout(request.timeout),
-          idle_timer(event_new(loop, -1, 0, &state::on_idle_timeout, this))
+          idle_timer(event_new(loop, -1, 0, &state::on_idle_timeout, this)),
+          total_timer(event_new(loop, -1, 0, &state::on_total_timeout, this))
     {
     }
     state(const state&) = delete;
     state& operator=(const state&) = delete;
-    ~state() { event_free(idle_timer); }
+    ~state()
+    {
+        event_free(idle_timer);
+        event_free(total_timer);
+    }
+
+    void restart_timer() const { start(idle_timer, idle_timeout); }
 
-    void restart_timer() const
+    static void start(event* timer, millis time)
     {
-        const timeval delay = to_timeval(idle_timeout);
+        const timeval delay = to_timeval(time);
         // libevent counts a timer from the start of the loop's iteration, which may be long ago.
-        event_base_update_cache_time(event_get_base(idle_timer));
-        event_add(idle_timer, &delay);
+        event_base_update_cache_time(event_get_base(timer));
+        event_add(timer, &delay);
     }
 
     static void on_idle_timeout(evutil_socket_t /*socket*/, short /*what*/, void* user)
@@ -64,10 +79,22 @@
         self->finish(http_call_result::lost);
     }
 
+    static void on_total_timeout(evutil_socket_t /*socket*/, short /*what*/, void* user)
+    {
+        const std::shared_ptr<state> self = static_cast<state*>(user)->shared_from_this();
+        self->connection.read_arrived();
+        if (self->ended) {
+            return;
+        }
+        self->connection.abandon();
+        self->finish(http_call_result::lost);
+    }
+
     void finish(http_call_result end)
     {
         ended = true;
         event_del(idle_timer);
+        event_del(total_timer);
         const handlers callbacks = std::move(receivers);
         receivers = {};
         if (callbacks.on_end) {
@@ -80,6 +107,9 @@
     : state_(std::make_shared<state>(loop, request, std::move(receivers)))
 {
     state_->restart_timer();
+    if (request.max_time > 0ms) {
+        state::start(state_->total_timer, request.max_time);
+    }
     state* self = state_.get();
     self->connection.call(head_of(request), request.body,
                           {.on_head =
@@ -122,9 +152,11 @@
 
 } // namespace
 
-void fetch(event_base* loop, const http_client_request& request,
+void fetch(event_base* loop, http_client_request request,
            std::function<void(const http_response&)> on_response)
 {
+    request.max_time = max_fetch_timeouts * request.timeout;
+    request.max_body_bytes = max_fetched_bytes;
     auto pending = std::make_shared<fetch_state>();
     http_call::handlers receivers{
         .on_head =
--- a/Source/http_client.h
+++ b/Source/http_client.h
@@ -4,6 +4,7 @@
 #include "net_address.h"
 #include "time_types.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -24,6 +25,9 @@
     std::vector<http_header> headers;
     // Maximum time to connect, and maximum time without receiving any part of the response.
     millis timeout = 5000ms;
+    millis max_time{0}; // maximum time of the whole call; 0 for no limit
+    // A call whose response has a longer body ends as `lost`.
+    std::size_t max_body_bytes = client_connection_options{}.max_body_bytes;
 };
 
 /// Response that was received completely, or the partial response of a call that failed.
@@ -54,8 +58,9 @@
 };
 
 /// Makes a call and passes the complete response to `on_response`. The call keeps itself alive
-/// until it ends.
-void fetch(event_base* loop, const http_client_request& request,
+/// until it ends. Sets its own limits of the total time and of the size of the body, because it
+/// collects the response.
+void fetch(event_base* loop, http_client_request request,
            std::function<void(const http_response&)> on_response);
 
 } // namespace cyclamen
--- a/Tests/Relay/endless_response_test.cpp
+++ b/Tests/Relay/endless_response_test.cpp
@@ -2,6 +2,7 @@
 // connection is closed.
 
 #include "event_log.h"
+#include "http_client.h"
 #include "relay_harness.h"
 
 #include <gtest/gtest.h>
@@ -379,3 +380,53 @@
     first->repeat(filler);
     EXPECT_TRUE(fleet.wait_for([&] { return first->closed(); }));
 }
+
+namespace {
+
+class endless_fetch : public endless_response {
+protected:
+    net_address server() const { return {.host = "127.0.0.1", .port = shops[0]->port()}; }
+
+    // Fetches a document and waits until the server has received the request.
+    void begin(const http_client_request& request)
+    {
+        fetch(fleet.core().loop(), request,
+              [this](const http_response& given) { response = given; });
+        ASSERT_TRUE(fleet.wait_for([&] { return shops[0]->requests() == 1; }));
+    }
+
+    std::optional<http_response> response;
+};
+
+} // namespace
+
+// Guards against an agent that never probes its backend server again, and an instance list that
+// is never read again, because each byte restarted the time limit.
+TEST_F(endless_fetch, ends_although_bytes_keep_coming_slowly)
+{
+    begin({.server = server(), .timeout = 200ms});
+    shops[0]->respond(0, "HTTP/1.1 200 OK\r\n\r\n");
+    millis sent_at = fleet.core().now();
+    EXPECT_TRUE(fleet.wait_for([&] {
+        if (fleet.core().now() - sent_at >= 20ms && !response) {
+            shops[0]->respond(0, "x");
+            sent_at = fleet.core().now();
+        }
+        return response.has_value();
+    }));
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->end, http_call_result::lost);
+    EXPECT_TRUE(fleet.wait_for([&] { return shops[0]->closed_by_relay(0); }));
+}
+
+TEST_F(endless_fetch, ends_at_a_size_that_no_document_has)
+{
+    begin({.server = server()});
+    shops[0]->respond(0, "HTTP/1.1 200 OK\r\n\r\n");
+    shops[0]->repeat_response(0, filler);
+    ASSERT_TRUE(fleet.wait_for([&] { return response.has_value(); }));
+    EXPECT_EQ(response->end, http_call_result::lost);
+    constexpr std::size_t max_bytes = 20000000;
+    EXPECT_LT(response->body.size(), max_bytes);
+    EXPECT_TRUE(fleet.wait_for([&] { return shops[0]->closed_by_relay(0); }));
+}
