--- a/Tests/Relay/endless_response_test.cpp
+++ b/Tests/Relay/endless_response_test.cpp
@@ -3,6 +3,7 @@
 
 #include "event_log.h"
 #include "http_client.h"
+#include "metadata_store.h"
 #include "relay_harness.h"
 
 #include <gtest/gtest.h>
@@ -430,3 +431,45 @@
     EXPECT_LT(response->body.size(), max_bytes);
     EXPECT_TRUE(fleet.wait_for([&] { return shops[0]->closed_by_relay(0); }));
 }
+
+namespace {
+
+class endless_store : public endless_response, public testing::WithParamInterface<endless_case> {};
+
+} // namespace
+
+// Guards against a store's answer that fills the memory of each entry that reads it.
+TEST_P(endless_store, fails_the_read_and_closes_the_connection)
+{
+    platform::metadata_store store(
+        fleet.core(),
+        {.address = {.host = "127.0.0.1", .port = shops[0]->port()}, .response_timeout = 60000ms});
+    std::optional<keyed_log_page> page;
+    store.read("routes", 0, 0ms, [&](keyed_log_page given) { page = std::move(given); });
+    ASSERT_TRUE(fleet.wait_for([&] { return shops[0]->requests() == 1; }));
+    shops[0]->respond(0, GetParam().begin);
+    shops[0]->repeat_response(0, GetParam().repeated);
+    ASSERT_TRUE(fleet.wait_for([&] { return page.has_value(); }));
+    EXPECT_EQ(page->end, log_call_status::failed);
+    ASSERT_TRUE(fleet.wait_for([&] { return shops[0]->closed_by_relay(0); }));
+    // Includes what was left in the buffers of the sockets.
+    constexpr std::size_t max_bytes = 30000000;
+    EXPECT_LT(shops[0]->bytes_repeated(0), max_bytes);
+    // The next read opens a connection of its own.
+    page.reset();
+    store.read("routes", 0, 0ms, [&](keyed_log_page given) { page = std::move(given); });
+    ASSERT_TRUE(fleet.wait_for([&] { return shops[0]->requests() == 2; }));
+    shops[0]->respond(1, response_of("", std::string(16, '\0')));
+    ASSERT_TRUE(fleet.wait_for([&] { return page.has_value(); }));
+    EXPECT_EQ(page->end, log_call_status::answered);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    responses, endless_store,
+    testing::Values(endless_case{"reason_phrase", "HTTP/1.1 200 ", filler},
+                    endless_case{"interim_responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+                    endless_case{"body", "HTTP/1.1 200 OK\r\n\r\n", filler},
+                    endless_case{"error_body", "HTTP/1.1 500 Oh\r\n\r\n", filler},
+                    endless_case{"declared_body",
+                                 "HTTP/1.1 200 OK\r\nContent-Length: 60000000\r\n\r\n", filler}),
+    name_of_case);
