Wait after a page of a log that brought nothing

A store that announced records but sent none was read again at once, without end, by each entry: a tight loop that costs the store and the callers of the entry their time.

Cause: a page whose `log_end` lies ahead is followed by the next read without a pause, which makes sense only after a page with records. A page without any is now followed by `read_interval`.

Evidence: log_follower_listing.waits_after_a_page_that_brought_nothing saw the next read at once before and passes now. unit_tests: 80 pass; relay_tests: no test fails that passed before.

--- a/Source/log_follower.cpp
+++ b/Source/log_follower.cpp
@@ -97,7 +97,12 @@
         mirror_.apply(std::move(record));
     }
     hooks_.on_records_applied();
-    if (mirror_.position().value_or(0) < page.log_end) {
+    const bool more = mirror_.position().value_or(0) < page.log_end;
+    if (more && page.records.empty()) { // reading again at once would bring nothing either
+        schedule(options_.read_interval, &log_follower::read_next);
+        return;
+    }
+    if (more) {
         read_now();
         return;
     }
--- a/Tests/Relay/log_follower_test.cpp
+++ b/Tests/Relay/log_follower_test.cpp
@@ -4,6 +4,7 @@
 #include "kernel.h"
 #include "log_follower.h"
 
+#include <event2/event.h>
 #include <gtest/gtest.h>
 
 using namespace cyclamen;
@@ -38,6 +39,16 @@
     // Completes the open call with `page`.
     void reply(keyed_log_page page) { std::exchange(pending_call, {})(std::move(page)); }
 
+    // Runs the event loop until the follower makes a call; returns false if it makes none in 5 s.
+    bool wait_for_call()
+    {
+        const millis until = core.now() + 5s;
+        while (!pending_call && core.now() < until) {
+            event_base_loop(core.loop(), EVLOOP_NONBLOCK);
+        }
+        return pending_call != nullptr;
+    }
+
     static mirrored_record record(const std::string& key, std::uint64_t offset)
     {
         return {.key = key, .value = "x", .offset = offset};
@@ -91,3 +102,19 @@
     EXPECT_FALSE(follower.answered());
     EXPECT_EQ(mirror.size(), 1U);
 }
+
+// Guards against a tight loop against a store that announces records but sends none.
+TEST_F(log_follower_listing, waits_after_a_page_that_brought_nothing)
+{
+    reply({.end = log_call_status::answered, .records = {record("a", 3)}, .log_end = 4});
+    ASSERT_TRUE(pending_call);
+    const millis replied_at = core.now();
+    reply({.end = log_call_status::answered, .log_end = 9});
+    EXPECT_FALSE(pending_call) << "the log must not be read again at once";
+    ASSERT_TRUE(wait_for_call());
+    EXPECT_GE(core.now() - replied_at, log_follower_options{}.read_interval / 2);
+    EXPECT_EQ(read_from, 4U);
+    reply({.end = log_call_status::answered, .records = {record("b", 4)}, .log_end = 9});
+    EXPECT_TRUE(pending_call) << "a page with records must be followed by the next at once";
+    EXPECT_EQ(read_from, 5U);
+}
