Treat a listing that does not advance as failed

A store that sent the same pages of a listing again and again was listed without end and without a pause, and the records collected for the listing filled the memory of the entry. The log counted as answering.

Cause: each page with a next key led to the next request at once, whatever the key. A key that the same listing has already named now fails the page: its records are dropped, and the page is requested again after `retry_delay`, so that a store that recovers is listed to the end.

Evidence: log_follower_listing.a_list_that_does_not_advance_has_failed saw the next request at once and no failure before, and passes now. unit_tests: 80 pass; relay_tests: no test fails that passed before.

--- a/Source/log_follower.cpp
+++ b/Source/log_follower.cpp
@@ -36,6 +36,11 @@
         schedule(options_.retry_delay, &log_follower::request_next_page);
         return;
     }
+    if (page.next_page_after && !listed_pages_.insert(*page.next_page_after).second) {
+        fail("list_does_not_advance");
+        schedule(options_.retry_delay, &log_follower::request_next_page);
+        return;
+    }
     answered_ = true;
     hooks_.on_page_received();
     // The pages of a listing are not one snapshot.  Reading therefore starts at the log's end as
@@ -58,6 +63,7 @@
               listed_records_.size(), *listing_end_, mirror_.position().value_or(0));
     mirror_.apply_listing(std::exchange(listed_records_, {}), *listing_end_);
     listing_end_.reset();
+    listed_pages_.clear();
     hooks_.on_records_applied();
     read_next();
 }
--- a/Source/log_follower.h
+++ b/Source/log_follower.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -85,6 +86,7 @@
     std::vector<mirrored_record> listed_records_;
     std::optional<std::uint64_t> listing_end_; // end of the log as of the first list page
     std::optional<std::string> next_page_after_;
+    std::set<std::string> listed_pages_; // keys after which pages of the current listing start
     bool read_pending_ = false;
     bool answered_ = false;
     kernel::timer timer_;
--- a/Tests/Relay/log_follower_test.cpp
+++ b/Tests/Relay/log_follower_test.cpp
@@ -118,3 +118,32 @@
     EXPECT_TRUE(pending_call) << "a page with records must be followed by the next at once";
     EXPECT_EQ(read_from, 5U);
 }
+
+// Guards against a listing without end of a store that sends the same pages again and again.
+TEST_F(log_follower_listing, a_list_that_does_not_advance_has_failed)
+{
+    const auto page = [](const std::string& key) {
+        return keyed_log_page{.end = log_call_status::answered,
+                              .records = {record(key, 3)},
+                              .log_end = 8,
+                              .next_page_after = key};
+    };
+    reply(page("a"));
+    reply(page("b"));
+    EXPECT_TRUE(follower.answered());
+    reply(page("a"));
+    EXPECT_FALSE(pending_call) << "the next page must not be requested at once";
+    EXPECT_EQ(failures, 1U);
+    EXPECT_FALSE(follower.answered());
+    EXPECT_EQ(updates, 2U);
+    ASSERT_TRUE(wait_for_call());
+    EXPECT_EQ(listed_after, "b");
+    reply({.end = log_call_status::answered, .records = {record("c", 5)}, .log_end = 8});
+    EXPECT_TRUE(follower.answered());
+    EXPECT_EQ(mirror.size(), 3U);
+    // A later listing starts over.
+    reply({.end = log_call_status::truncated});
+    reply(page("a"));
+    EXPECT_EQ(failures, 1U);
+    EXPECT_EQ(listed_after, "a");
+}
