Forward responses of any size

Callers got an error, or a second run elsewhere, in place of a response longer than 64 MiB.

Cause: the client connection used the body limit of the parser, which is meant for bodies that are collected. The relay forwards a response as it comes and pauses reading for a slow caller, so its length costs no memory. A connection now has no limit of the body unless its user sets one; `fetch` and the metadata store, which collect bodies, set theirs.

--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -1,6 +1,7 @@
 #include "client_connection.h"
 
 #include "event_time.h"
+#include "http_reader.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
--- a/Source/client_connection.h
+++ b/Source/client_connection.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "http_message.h"
-#include "http_reader.h"
 #include "net_address.h"
 #include "time_types.h"
 
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -28,8 +28,9 @@
     // Closes the connection if data or keep-alive probes stay unacknowledged for this long
     // (TCP_USER_TIMEOUT).
     millis tcp_user_timeout = 2000ms;
-    // A call whose response has a longer body ends as `lost`. To be set by whoever collects bodies.
-    std::size_t max_body_bytes = http_reader_limits{}.body_bytes;
+    // A call whose response has a longer body ends as `lost`. To be set by whoever collects bodies;
+    // a body that is forwarded may be of any size.
+    std::size_t max_body_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// Client side of an HTTP/1.1 connection: makes one call at a time and can be reused as long as
--- a/Tests/Relay/endless_response_test.cpp
+++ b/Tests/Relay/endless_response_test.cpp
@@ -6,6 +6,7 @@
 #include "metadata_store.h"
 #include "relay_harness.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -473,3 +474,21 @@
                     endless_case{"declared_body",
                                  "HTTP/1.1 200 OK\r\nContent-Length: 60000000\r\n\r\n", filler}),
     name_of_case);
+
+// Guards against a legitimate response that is cut or refused only because it is long.
+TEST_F(endless_response, passes_a_long_response_of_a_declared_length)
+{
+    constexpr std::size_t length = 70000000;
+    scripted_caller& caller = send(get("/view/"));
+    const auto first = next_arrival(caller);
+    ASSERT_TRUE(first);
+    first->respond(
+        fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nContent-Length: {}\r\n\r\n", length));
+    first->shop->repeat_response(first->index, filler, length);
+    ASSERT_TRUE(fleet.wait_for([&] {
+        return caller.received().size() > length || caller.ended() ||
+               (caller.status() != 0 && caller.status() != 200);
+    }));
+    EXPECT_EQ(caller.status(), 200);
+    EXPECT_FALSE(first->closed());
+}
