Answer requests that do not end before a stopping entry is killed

A request that never ended kept a stopping entry alive until it was killed, and its caller got no answer.

Cause: the stop had no bound. Requests that are still open 30 s after the end of the stop grace are now abandoned at the dispatcher, which cancels them at the agent, and answered with the outcome unknown: by a 502, or in a stream that has begun by an error event and an incomplete end. The outcome is unknown even if no attempt was made, which only the dispatcher knows. Requests that arrive later are refused as not run.

--- a/Source/caller_server.cpp
+++ b/Source/caller_server.cpp
@@ -63,15 +63,17 @@
     std::string body;             // response body, buffered unless it is streamed
     std::size_t unsent_bytes = 0; // streamed bytes since the connection was last drained
     std::vector<http_header> headers;
-    std::shared_ptr<std::size_t> open_count;
+    std::uint64_t handle = 0; // of the dispatcher
+    std::shared_ptr<std::set<request_context*>> registry;
 
-    explicit request_context(std::shared_ptr<std::size_t> counter) : open_count(std::move(counter))
+    explicit request_context(std::shared_ptr<std::set<request_context*>> contexts)
+        : registry(std::move(contexts))
     {
-        ++*open_count;
+        registry->insert(this);
     }
     request_context(const request_context&) = delete;
     request_context& operator=(const request_context&) = delete;
-    ~request_context() { --*open_count; }
+    ~request_context() { registry->erase(this); }
 };
 
 caller_server::caller_server(kernel& core, caller_server_options options)
@@ -95,6 +97,9 @@
     server_->begin_stop();
     quiet_wait_ends_at_ = core_.now() + options_.stop_grace + max_quiet_wait;
     listener_timer_ = core_.after(options_.stop_grace, [this] { close_listener(); });
+    const millis request_time = options_.stop_grace + options_.request_grace;
+    request_timer_ = core_.after(request_time, [this] { end_open_requests(); });
+    exit_at_ = core_.now() + request_time + max_quiet_wait;
 }
 
 void caller_server::close_listener()
@@ -104,9 +109,41 @@
     }
 }
 
+void caller_server::end_open_requests()
+{
+    request_grace_ended_ = true;
+    problem_document problem = problem_document::of(outcome::unknown, wire::stopping);
+    problem.detail = "the entry stopped before the request ended";
+    const std::set<request_context*> open = *open_requests_;
+    for (request_context* context : open) {
+        if (!open_requests_->contains(context)) {
+            continue; // ended when another request was abandoned
+        }
+        const exchange caller = context->caller;
+        const bool response_started = context->response_started;
+        dispatcher_->abandon(context->handle); // destroys the context
+        end_with_problem(caller, response_started, problem);
+    }
+}
+
+void caller_server::end_with_problem(const exchange& caller, bool response_started,
+                                     const problem_document& problem) const
+{
+    if (!response_started) {
+        send_problem(caller, problem);
+        return;
+    }
+    caller->write("data: {\"error\":" + problem.text() + "}\n\n");
+    // Omits the final chunk, so that the caller sees an incomplete response.
+    caller->abort();
+}
+
 bool caller_server::idle() const
 {
-    if (server_->listening() || *open_requests_ > 0 || server_->open_requests() > 0) {
+    if (request_grace_ended_ && core_.now() >= exit_at_) {
+        return true;
+    }
+    if (server_->listening() || !open_requests_->empty() || server_->open_requests() > 0) {
         return false;
     }
     return server_->quiet_time() >= quiet_time_before_exit || core_.now() >= quiet_wait_ends_at_;
@@ -269,6 +306,10 @@
 
 void caller_server::submit(const exchange& caller, entry_request request, bool stream)
 {
+    if (request_grace_ended_) {
+        send_problem(caller, problem_document::of(outcome::not_run, wire::stopping));
+        return;
+    }
     const auto deadline = parse_deadline(caller);
     if (!deadline) {
         send_problem(caller, problem_document::refused(
@@ -283,6 +324,7 @@
     context->caller = caller;
     context->stream = stream;
     const std::uint64_t handle = dispatcher_->submit(std::move(request), make_sink(context));
+    context->handle = handle;
     caller->on_closed = [this, handle] { dispatcher_->abandon(handle); };
     caller->on_drained = [this, handle, weak_context = std::weak_ptr<request_context>(context)] {
         if (const auto open_context = weak_context.lock()) {
@@ -333,14 +375,9 @@
                         caller->reply(context->status, context->content_type, context->body,
                                       context->headers);
                     }
-                    else if (context->response_started) {
-                        const auto problem = problem_document::of(end.result, end.reason);
-                        caller->write("data: {\"error\":" + problem.text() + "}\n\n");
-                        // Omits the final chunk, so that the caller sees an incomplete response.
-                        caller->abort();
-                    }
                     else {
-                        send_problem(caller, problem_document::of(end.result, end.reason));
+                        end_with_problem(caller, context->response_started,
+                                         problem_document::of(end.result, end.reason));
                     }
                 },
             .committed = [context] { return context->response_started; },
@@ -349,7 +386,9 @@
 
 nlohmann::json caller_server::describe() const
 {
-    return {{"open", *open_requests_}, {"stopping", stopping_}, {"listen", options_.listen.text()}};
+    return {{"open", open_requests_->size()},
+            {"stopping", stopping_},
+            {"listen", options_.listen.text()}};
 }
 
 } // namespace cyclamen
--- a/Source/caller_server.h
+++ b/Source/caller_server.h
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace cyclamen {
@@ -24,6 +25,9 @@
     /// Minimum time between reporting "not ready" and closing the listener, so that the load
     /// balancer stops sending requests first.
     millis stop_grace = 1500ms;
+    /// Time from the end of `stop_grace` until requests that are still open are ended, so that
+    /// their callers learn it before the process is killed.
+    millis request_grace = 30000ms;
     /// Limit for the body of a response that is not streamed.
     std::size_t max_response_bytes = 8388608;
 };
@@ -48,6 +52,10 @@
     struct request_context;
 
     void close_listener();
+    /// Ends the open requests with the outcome `unknown`.
+    void end_open_requests();
+    void end_with_problem(const exchange& caller, bool response_started,
+                          const problem_document& problem) const;
     void on_request(const exchange& caller);
     void on_chat_completion(const exchange& caller, const std::string& account);
     void on_service_call(const exchange& caller, const std::string& account);
@@ -66,9 +74,14 @@
     entry_dispatcher* dispatcher_ = nullptr;
     std::unique_ptr<http_server> server_;
     kernel::timer listener_timer_;
+    kernel::timer request_timer_;
     millis quiet_wait_ends_at_{0};
+    millis exit_at_{0};
     bool stopping_ = false;
-    std::shared_ptr<std::size_t> open_requests_ = std::make_shared<std::size_t>(0);
+    bool request_grace_ended_ = false;
+    // Shared with the contexts, which remove themselves and may outlive this object.
+    std::shared_ptr<std::set<request_context*>> open_requests_ =
+        std::make_shared<std::set<request_context*>>();
 };
 
 } // namespace cyclamen
--- a/Tests/Entries/entry_shutdown_test.cpp
+++ b/Tests/Entries/entry_shutdown_test.cpp
@@ -141,18 +141,35 @@
 class entry_shutdown_callers : public testing::Test {
 protected:
     static constexpr millis stop_grace = 100ms;
+    static constexpr millis request_grace = 300ms;
 
     entry_shutdown_callers() : core({.program = "test", .instance = "i1", .random_seed = 1})
     {
         const net_address nowhere{.host = "127.0.0.1", .port = free_port()};
         core.add(std::make_unique<instance_directory>(core,
                                                       instance_directory_options{.list = nowhere}));
-        core.add(
+        auto& configuration = core.add(
             std::make_unique<configuration_feed>(core, configuration_feed_options{.log = nowhere}));
+        wire::configuration_update update;
+        const nlohmann::json accounts{
+            {"ann", {{"credential_sha256", sha256_hex("key")}, {"weight", 1}}}};
+        const nlohmann::json services{{"orders", {{"model", false}, {"repeatable", false}}}};
+        update.set_snapshot(nlohmann::json{{"snapshot_offset", 1},
+                                           {"revision", 1},
+                                           {"settled_by", "test"},
+                                           {"zones_out", nlohmann::json::object()},
+                                           {"drained", nlohmann::json::object()},
+                                           {"quarantined", nlohmann::json::object()},
+                                           {"services", services},
+                                           {"accounts", accounts},
+                                           {"commands", nlohmann::json::array()}}
+                                .dump());
+        configuration.on_update(update);
         core.add(std::make_unique<entry_dispatcher>(core, entry_dispatcher_options{}));
         core.add(std::make_unique<caller_server>(
             core, caller_server_options{.listen = {.host = "127.0.0.1", .port = port},
-                                        .stop_grace = stop_grace}));
+                                        .stop_grace = stop_grace,
+                                        .request_grace = request_grace}));
     }
 
     void block_loop(millis duration) const
@@ -388,3 +405,27 @@
     EXPECT_TRUE(response.ends_with("data: {}\n\n\r\n")) << response;
     EXPECT_EQ(server.open_requests(), 0U);
 }
+
+// Guards against a request without an answer: a request that did not end kept the process alive
+// until it was killed.
+TEST_F(entry_shutdown_callers, learn_that_the_process_exits_before_their_request_ends)
+{
+    int caller = -1;
+    kernel::timer stop;
+    const millis begun = core.now();
+    const kernel::timer connects = core.after(1ms, [&] {
+        caller = connect_to(port);
+        // No agent serves it, so it stays open until its deadline.
+        send_text(caller, "POST /services/orders/x HTTP/1.1\r\nHost: a\r\n"
+                          "Authorization: Bearer key\r\nX-Deadline-Ms: 20000\r\n"
+                          "Content-Length: 0\r\n\r\n");
+        stop = core.after(20ms, [&] { core.stop(); });
+    });
+    EXPECT_EQ(core.run(), 0);
+    EXPECT_LT(core.now() - begun, 15000ms) << "the process waited for the deadline";
+    const std::string response = receive(caller);
+    close(caller);
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 502")) << response;
+    EXPECT_NE(response.find("\"outcome\":\"unknown\""), std::string::npos) << response;
+    EXPECT_NE(response.find("Connection: close\r\n"), std::string::npos) << response;
+}
