Put off a caller's time limit for all input that had arrived, not for two reads

Callers whose whole request head had arrived while the event loop was busy got 408 if the head was longer than what the loop reads at once: two reads after the expired timer were taken as enough.

The limit now is the number of bytes that had arrived when the expired timer was handled. Input that comes later does not extend the time limit, as before.

Evidence: relay.answers_a_request_whose_rest_came_before_its_time_limit_was_handled, now with a head of 12 kB, got 408 before and passes now. The new test answers_a_request_that_its_idle_timer_finds_in_the_socket passed before, too; it guards the look into the socket, which no test failed without.

--- a/Source/caller_connection.cpp
+++ b/Source/caller_connection.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -25,9 +26,6 @@
 constexpr millis linger_time = 1000ms;
 // Closes the connection if sent data stays unacknowledged for this long (TCP_USER_TIMEOUT).
 constexpr int tcp_user_timeout_ms = 5000;
-// Reads that follow an expired timer: one takes what is buffered, the next what was still in the
-// socket. More would let a slow sender extend its time limit.
-constexpr int max_late_reads = 2;
 constexpr int bad_request = 400;
 constexpr int request_timeout = 408;
 constexpr int content_too_large = 413;
@@ -318,32 +316,35 @@
     return output_pending_ ? configured : std::min(configured, idle_limit_.value_or(configured));
 }
 
-// True if bytes have arrived that the parser has not consumed.
-bool caller_connection::has_unread_input() const
+// Bytes that have arrived and that the parser has not consumed.
+std::size_t caller_connection::unread_bytes() const
 {
-    if (channel_ == nullptr) {
-        return false;
-    }
-    char byte = 0;
-    return evbuffer_get_length(bufferevent_get_input(channel_)) > 0 ||
-           recv(bufferevent_getfd(channel_), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) > 0;
+    int in_socket = 0;
+    static_cast<void>(ioctl(bufferevent_getfd(channel_), FIONREAD, &in_socket));
+    return evbuffer_get_length(bufferevent_get_input(channel_)) +
+           static_cast<std::size_t>(std::max(0, in_socket));
 }
 
 void caller_connection::start_timer(millis delay)
 {
-    late_reads_ = 0;
+    late_input_.reset();
     timer_ = core_.after(delay, [this] { on_timeout(); });
 }
 
 void caller_connection::on_timeout()
 {
     // After a busy period, the event loop runs an expired timer before it hands over input that
-    // arrived in time.
-    if (state_ == stage::reading && late_reads_ < max_late_reads && has_unread_input()) {
-        ++late_reads_;
-        timer_ = core_.after(0ms, [this] { on_timeout(); });
-        read();
-        return;
+    // arrived in time. Later input does not extend the time limit.
+    if (state_ == stage::reading) {
+        std::size_t late_input = late_input_.value_or(unread_bytes());
+        if (late_input > 0) {
+            const std::size_t buffered = evbuffer_get_length(bufferevent_get_input(channel_));
+            late_input -= std::min(late_input, buffered);
+            late_input_ = late_input;
+            timer_ = core_.after(0ms, [this] { on_timeout(); });
+            read();
+            return;
+        }
     }
     if (state_ == stage::reading && reader_.message_started()) {
         keep_alive_ = false;
--- a/Source/caller_connection.h
+++ b/Source/caller_connection.h
@@ -104,7 +104,7 @@
     void next_request();
     void start_timer(millis delay);
     millis idle_timeout() const;
-    bool has_unread_input() const;
+    std::size_t unread_bytes() const;
     void on_timeout();
     void send(std::string_view text);
     void linger();
@@ -129,7 +129,8 @@
     std::size_t discarded_bytes_ = 0;  // received after the last response
     bool close_announced_ = false;     // the latest response carried `Connection: close`
     std::optional<millis> idle_limit_; // set by `close_when_idle`
-    int late_reads_ = 0;               // reads since the current timer expired
+    std::optional<std::size_t>
+        late_input_; // bytes that arrived before the expired timer was handled
     kernel::timer timer_;
 };
 
--- a/Tests/Relay/relay_test.cpp
+++ b/Tests/Relay/relay_test.cpp
@@ -259,7 +259,8 @@
     tight.limits.head_timeout = 60ms;
     fleet.configure(tight);
     scripted_caller& caller = fleet.add_caller();
-    const std::string request = get("/view/");
+    // Longer than what the event loop reads at once.
+    const std::string request = get("/view/", "X-Long: " + std::string(12000, 'x') + "\r\n");
     caller.send(request.substr(0, 20));
     fleet.run_for(20ms);
     caller.send(request.substr(20));
@@ -271,6 +272,24 @@
     EXPECT_EQ(caller.status(), 0);
 }
 
+// The same for a request that is still in the socket when the idle timer runs.
+TEST_F(relay, answers_a_request_that_its_idle_timer_finds_in_the_socket)
+{
+    relay_configuration tight = relay_harness::configuration(2);
+    tight.limits.idle_timeout = 60ms;
+    fleet.configure(tight);
+    scripted_caller& caller = fleet.add_caller();
+    caller.send(get("/none/"));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.status() == 404; }));
+    const kernel::timer send = fleet.core().after(50ms, [&] { caller.send(get("/view/")); });
+    const millis until = fleet.core().now() + 100ms;
+    while (fleet.core().now() < until) {
+        // keeps the event loop busy
+    }
+    EXPECT_TRUE(fleet.wait_for([&] { return shop.requests() == 1 || caller.ended(); }));
+    EXPECT_EQ(shop.requests(), 1U);
+}
+
 TEST_F(relay, keeps_callers_to_their_limits)
 {
     relay_configuration tight = relay_harness::configuration(2);
