Leave the event loop only after the listener has closed

Callers that connected during a pause around 2.5 s after SIGTERM were reset at an entry without other callers: it was idle by the clock, and the exit came before the timer that accepts waiting connections. Idle now means that the listener has closed.

Two more decisions of a stop went by values that may change or be over: requests were accepted against the grace period of reloaded settings, while the abort kept the one at the stop, and after the abort if their deadline had passed. Both use the end of the grace period as of the stop now, and nothing is accepted after the abort. The share of it in which deadlines do not count is 0.35, so that it ends before 3 s of the 8 that the platform gives. A signal or an aborted handshake no longer ends the acceptance of waiting connections.

Evidence: relay_shutdown.is_not_idle_before_the_listener_has_closed failed before and passes now. is_not_idle_in_the_iteration_of_the_abort guards the time for last responses, which no test failed without. The decisions about the grace period were found by reading.

--- a/Source/relay_server.cpp
+++ b/Source/relay_server.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <stdexcept>
 
 namespace cyclamen {
@@ -22,7 +23,7 @@
 constexpr millis flush_time = 150ms;
 // Share of the grace period in which requests are accepted whatever their deadlines: most end long
 // before these, and a refusal uses up one of the caller's few attempts.
-constexpr double unconditional_share = 0.4;
+constexpr double unconditional_share = 0.35;
 
 } // namespace
 
@@ -141,10 +142,15 @@
 void relay_server::accept_pending()
 {
     const evutil_socket_t listening = evconnlistener_get_fd(listener_);
-    int socket = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    while (socket >= 0) {
-        accept(socket);
-        socket = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    while (true) {
+        const int socket = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (socket >= 0) {
+            accept(socket);
+            continue;
+        }
+        if (errno != EINTR && errno != ECONNABORTED) {
+            return;
+        }
     }
 }
 
@@ -200,6 +206,7 @@
 void relay_server::begin_stop()
 {
     stopping_since_ = core_.now();
+    grace_ends_at_ = *stopping_since_ + options_.limits.stop_grace;
     for (const auto& [key, caller_state] : callers_) {
         caller_state.connection->close_after_response();
     }
@@ -225,9 +232,12 @@
     if (!stopping_since_) {
         return true;
     }
-    const millis grace = options_.limits.stop_grace;
+    if (aborted_at_) {
+        return false;
+    }
+    const millis grace = *grace_ends_at_ - *stopping_since_;
     const auto unconditional = std::chrono::duration_cast<millis>(grace * unconditional_share);
-    return core_.now() < *stopping_since_ + unconditional || deadline <= *stopping_since_ + grace;
+    return core_.now() < *stopping_since_ + unconditional || deadline <= *grace_ends_at_;
 }
 
 bool relay_server::idle() const
@@ -238,7 +248,7 @@
     if (aborted_at_ && core_.now() >= *aborted_at_ + flush_time) {
         return true;
     }
-    return core_.now() - *stopping_since_ >= options_.lame_duck_time && callers_.empty();
+    return listener_ == nullptr && callers_.empty();
 }
 
 nlohmann::json relay_server::describe() const
--- a/Source/relay_server.h
+++ b/Source/relay_server.h
@@ -101,6 +101,7 @@
     kernel::timer lame_duck_timer_;
     kernel::timer grace_timer_;
     std::optional<millis> stopping_since_;
+    std::optional<millis> grace_ends_at_; // as of the begin of the stop
     std::optional<millis> aborted_at_; // end of the grace period, when open requests were aborted
     unsigned entries_ = 1;
 };
--- a/Tests/Relay/relay_shutdown_test.cpp
+++ b/Tests/Relay/relay_shutdown_test.cpp
@@ -145,6 +145,40 @@
     EXPECT_EQ(caller.status(), 502);
 }
 
+// Guards against an exit in the iteration in which open requests are aborted.
+TEST_F(relay_shutdown, is_not_idle_in_the_iteration_of_the_abort)
+{
+    scripted_caller& caller = fleet.add_caller();
+    caller.send(get("/view/"));
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 1; }));
+    fleet.relay().begin_stop();
+    bool idle = false;
+    const kernel::timer idle_check =
+        fleet.core().after(stop_grace + 10ms, [&] { idle = fleet.relay().idle(); });
+    block_loop(stop_grace + 30ms);
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.status() != 0; }));
+    EXPECT_FALSE(idle);
+}
+
+// Guards against an exit that resets the listen queue: an entry without callers counted as idle
+// before its listener had closed.
+TEST_F(relay_shutdown, is_not_idle_before_the_listener_has_closed)
+{
+    scripted_caller* caller = nullptr;
+    bool idle = false;
+    const kernel::timer connect = fleet.core().after(lame_duck_time - 20ms, [&] {
+        caller = &fleet.add_caller();
+        caller->send(get("/view/"));
+    });
+    const kernel::timer idle_check =
+        fleet.core().after(lame_duck_time - 10ms, [&] { idle = fleet.relay().idle(); });
+    fleet.relay().begin_stop();
+    block_loop(lame_duck_time + 40ms);
+    ASSERT_TRUE(fleet.wait_for([&] { return caller != nullptr; }));
+    EXPECT_FALSE(idle);
+    expect_served(*caller, 0);
+}
+
 // Guards against a response that breaks off at the end of the grace period.
 TEST_F(relay_shutdown, refuses_at_once_what_may_not_finish_before_the_exit)
 {
