--- a/Source/agent_server.cpp
+++ b/Source/agent_server.cpp
@@ -21,7 +21,7 @@
 } // namespace
 
 agent_server::agent_server(kernel& core, agent_server_options options)
-    : core_(core), options_(std::move(options))
+    : core_(core), fetcher_(core.loop()), options_(std::move(options))
 {
 }
 
@@ -195,22 +195,22 @@
 // Probes the health of the backend server.  Without a complete response it counts as down.
 void agent_server::query_health(std::function<void(backend_health)> on_health)
 {
-    fetch(core_.loop(),
-          {.server = options_.backend.backend,
-           .method = "GET",
-           .target = options_.health_path,
-           .content_type = {},
-           .body = {},
-           .headers = {},
-           .timeout = probe_timeout},
-          [on_health = std::move(on_health)](const http_response& response) {
-              backend_health health;
-              health.up = response.end == http_call_result::complete && response.status == http_ok;
-              const auto body = nlohmann::json::parse(response.body, nullptr, false);
-              health.cold =
-                  health.up && body.is_object() && body.contains("cold") && body["cold"] == true;
-              on_health(health);
-          });
+    fetcher_.fetch({.server = options_.backend.backend,
+                    .method = "GET",
+                    .target = options_.health_path,
+                    .content_type = {},
+                    .body = {},
+                    .headers = {},
+                    .timeout = probe_timeout},
+                   [on_health = std::move(on_health)](const http_response& response) {
+                       backend_health health;
+                       health.up =
+                           response.end == http_call_result::complete && response.status == http_ok;
+                       const auto body = nlohmann::json::parse(response.body, nullptr, false);
+                       health.cold = health.up && body.is_object() && body.contains("cold") &&
+                                     body["cold"] == true;
+                       on_health(health);
+                   });
 }
 
 // Ends a run whose connection was lost.  The run counts as a crash if the backend server
--- a/Source/agent_server.h
+++ b/Source/agent_server.h
@@ -3,6 +3,7 @@
 #include "agent_core.h"
 #include "backend_runner.h"
 #include "entry_farewells.h"
+#include "http_client.h"
 #include "kernel.h"
 #include "service.h"
 
@@ -65,6 +66,7 @@
     void tick();
 
     kernel& core_;
+    http_fetcher fetcher_;
     agent_server_options options_;
     configuration_feed* configuration_ = nullptr;
     instance_directory* directory_ = nullptr;
--- a/Source/http_client.cpp
+++ b/Source/http_client.cpp
@@ -142,36 +142,27 @@
     state_->receivers = {};
 }
 
-namespace {
-
-// Keeps a fetch call alive until it ends.
-struct fetch_state {
-    http_response response;
-    std::unique_ptr<http_call> call;
-};
-
-} // namespace
-
-void fetch(event_base* loop, http_client_request request,
-           std::function<void(const http_response&)> on_response)
+void http_fetcher::fetch(http_client_request request,
+                         std::function<void(const http_response&)> on_response)
 {
     request.max_time = max_fetch_timeouts * request.timeout;
     request.max_body_bytes = max_fetched_bytes;
-    auto pending = std::make_shared<fetch_state>();
+    const std::uint64_t number = next_call_++;
+    pending_call& pending = calls_[number];
     http_call::handlers receivers{
         .on_head =
-            [pending](int status, const std::string& content_type) {
-                pending->response.status = status;
-                pending->response.content_type = content_type;
+            [&pending](int status, const std::string& content_type) {
+                pending.response.status = status;
+                pending.response.content_type = content_type;
             },
-        .on_data = [pending](std::string_view data) { pending->response.body.append(data); },
+        .on_data = [&pending](std::string_view data) { pending.response.body.append(data); },
         .on_end =
-            [pending, on_response = std::move(on_response)](http_call_result end) {
-                pending->response.end = end;
-                const std::unique_ptr<http_call> ended = std::move(pending->call);
-                on_response(pending->response);
+            [this, number, on_response = std::move(on_response)](http_call_result end) {
+                auto ended = calls_.extract(number);
+                ended.mapped().response.end = end;
+                on_response(ended.mapped().response);
             }};
-    pending->call = std::make_unique<http_call>(loop, request, std::move(receivers));
+    pending.call = std::make_unique<http_call>(loop_, request, std::move(receivers));
 }
 
 } // namespace cyclamen
--- a/Source/http_client.h
+++ b/Source/http_client.h
@@ -5,7 +5,9 @@
 #include "time_types.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -57,10 +59,27 @@
     std::shared_ptr<state> state_;
 };
 
-/// Makes a call and passes the complete response to `on_response`. The call keeps itself alive
-/// until it ends. Sets its own limits of the total time and of the size of the body, because it
-/// collects the response.
-void fetch(event_base* loop, http_client_request request,
-           std::function<void(const http_response&)> on_response);
+/// Makes calls and collects their responses. Sets its own limits of the total time and of the size
+/// of the body. Destroying it closes the connections of its calls in progress without calling
+/// `on_response`; that function may destroy it.
+class http_fetcher {
+public:
+    explicit http_fetcher(event_base* loop) : loop_(loop) {}
+    http_fetcher(const http_fetcher&) = delete;
+    http_fetcher& operator=(const http_fetcher&) = delete;
+    ~http_fetcher() = default;
+
+    void fetch(http_client_request request, std::function<void(const http_response&)> on_response);
+
+private:
+    struct pending_call {
+        http_response response;
+        std::unique_ptr<http_call> call;
+    };
+
+    event_base* loop_;
+    std::uint64_t next_call_ = 1;
+    std::map<std::uint64_t, pending_call> calls_; // in progress
+};
 
 } // namespace cyclamen
--- a/Source/instance_directory.cpp
+++ b/Source/instance_directory.cpp
@@ -40,7 +40,7 @@
 } // namespace
 
 instance_directory::instance_directory(kernel& core, instance_directory_options options)
-    : core_(core), options_(std::move(options))
+    : core_(core), options_(std::move(options)), fetcher_(core.loop())
 {
 }
 
@@ -51,34 +51,34 @@
 
 void instance_directory::poll()
 {
-    fetch(core_.loop(),
-          {.server = options_.list,
-           .method = "GET",
-           .target = "/instances",
-           .content_type = {},
-           .body = {},
-           .headers = {},
-           .timeout = options_.timeout},
-          [this](const http_response& response) {
-              std::optional<std::map<std::string, listed_instance>> list;
-              if (response.end == http_call_result::complete) {
-                  list = parse_list(response.body);
-              }
-              if (list.has_value() != list_reachable_) {
-                  list_reachable_ = list.has_value();
-                  log_event(list_reachable_ ? event_id::list_reachable : event_id::list_unreachable,
-                            "list={}", options_.list.text());
-              }
-              if (list) {
-                  last_fetched_ = core_.now();
-              }
-              if (list && response.body != last_body_) {
-                  last_body_ = response.body;
-                  instances_ = std::move(*list);
-                  changed.emit();
-              }
-              timer_ = core_.after(next_poll_delay(), [this] { poll(); });
-          });
+    fetcher_.fetch({.server = options_.list,
+                    .method = "GET",
+                    .target = "/instances",
+                    .content_type = {},
+                    .body = {},
+                    .headers = {},
+                    .timeout = options_.timeout},
+                   [this](const http_response& response) {
+                       std::optional<std::map<std::string, listed_instance>> list;
+                       if (response.end == http_call_result::complete) {
+                           list = parse_list(response.body);
+                       }
+                       if (list.has_value() != list_reachable_) {
+                           list_reachable_ = list.has_value();
+                           log_event(list_reachable_ ? event_id::list_reachable
+                                                     : event_id::list_unreachable,
+                                     "list={}", options_.list.text());
+                       }
+                       if (list) {
+                           last_fetched_ = core_.now();
+                       }
+                       if (list && response.body != last_body_) {
+                           last_body_ = response.body;
+                           instances_ = std::move(*list);
+                           changed.emit();
+                       }
+                       timer_ = core_.after(next_poll_delay(), [this] { poll(); });
+                   });
 }
 
 millis instance_directory::next_poll_delay()
--- a/Source/instance_directory.h
+++ b/Source/instance_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "enum_names.h"
+#include "http_client.h"
 #include "kernel.h"
 #include "net_address.h"
 #include "service.h"
@@ -63,6 +64,7 @@
 
     kernel& core_;
     instance_directory_options options_;
+    http_fetcher fetcher_;
     std::map<std::string, listed_instance> instances_;
     std::string last_body_;
     kernel::timer timer_;
--- a/Source/log_client.cpp
+++ b/Source/log_client.cpp
@@ -52,33 +52,31 @@
 void log_client::append(const std::string& stream, const std::string& data,
                         std::function<void(std::optional<std::uint64_t>)> on_offset)
 {
-    fetch(loop_,
-          {.server = server_,
-           .method = "POST",
-           .target = "/streams/" + stream,
-           .content_type = "application/json",
-           .body = data,
-           .headers = {},
-           .timeout = timeout_},
-          [on_offset = std::move(on_offset)](const http_response& response) {
-              on_offset(parse_offset(response));
-          });
+    fetcher_.fetch({.server = server_,
+                    .method = "POST",
+                    .target = "/streams/" + stream,
+                    .content_type = "application/json",
+                    .body = data,
+                    .headers = {},
+                    .timeout = timeout_},
+                   [on_offset = std::move(on_offset)](const http_response& response) {
+                       on_offset(parse_offset(response));
+                   });
 }
 
 void log_client::read(const std::string& stream, std::uint64_t from, unsigned max_records,
                       std::function<void(std::optional<log_page>)> on_page)
 {
-    fetch(loop_,
-          {.server = server_,
-           .method = "GET",
-           .target = fmt::format("/streams/{}?from={}&max={}", stream, from, max_records),
-           .content_type = {},
-           .body = {},
-           .headers = {},
-           .timeout = timeout_},
-          [on_page = std::move(on_page)](const http_response& response) {
-              on_page(parse_page(response));
-          });
+    fetcher_.fetch({.server = server_,
+                    .method = "GET",
+                    .target = fmt::format("/streams/{}?from={}&max={}", stream, from, max_records),
+                    .content_type = {},
+                    .body = {},
+                    .headers = {},
+                    .timeout = timeout_},
+                   [on_page = std::move(on_page)](const http_response& response) {
+                       on_page(parse_page(response));
+                   });
 }
 
 } // namespace cyclamen
--- a/Source/log_client.h
+++ b/Source/log_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http_client.h"
 #include "net_address.h"
 #include "time_types.h"
 
@@ -9,8 +10,6 @@
 #include <string>
 #include <vector>
 
-struct event_base;
-
 namespace cyclamen {
 
 struct log_client_record {
@@ -33,7 +32,7 @@
 class log_client {
 public:
     log_client(event_base* loop, net_address server, millis timeout)
-        : loop_(loop), server_(std::move(server)), timeout_(timeout)
+        : fetcher_(loop), server_(std::move(server)), timeout_(timeout)
     {
     }
 
@@ -48,7 +47,7 @@
               std::function<void(std::optional<log_page>)> on_page);
 
 private:
-    event_base* loop_;
+    http_fetcher fetcher_;
     net_address server_;
     millis timeout_;
 };
--- a/Tests/Relay/endless_response_test.cpp
+++ b/Tests/Relay/endless_response_test.cpp
@@ -392,11 +392,11 @@
     // Fetches a document and waits until the server has received the request.
     void begin(const http_client_request& request)
     {
-        fetch(fleet.core().loop(), request,
-              [this](const http_response& given) { response = given; });
+        fetcher.fetch(request, [this](const http_response& given) { response = given; });
         ASSERT_TRUE(fleet.wait_for([&] { return shops[0]->requests() == 1; }));
     }
 
+    http_fetcher fetcher{fleet.core().loop()};
     std::optional<http_response> response;
 };
 
--- a/Tests/Relay/relay_paused_loop_test.cpp
+++ b/Tests/Relay/relay_paused_loop_test.cpp
@@ -278,12 +278,12 @@
 {
     scripted_backend& server = fleet.add_backend("log", "log");
     std::optional<http_response> response;
-    fetch(fleet.core().loop(),
-          {.server = {.host = "127.0.0.1", .port = server.port()},
-           .method = "GET",
-           .target = "/",
-           .timeout = 300ms},
-          [&](const http_response& received) { response = received; });
+    http_fetcher fetcher(fleet.core().loop());
+    fetcher.fetch({.server = {.host = "127.0.0.1", .port = server.port()},
+                   .method = "GET",
+                   .target = "/",
+                   .timeout = 300ms},
+                  [&](const http_response& received) { response = received; });
     ASSERT_TRUE(fleet.wait_for([&] { return server.requests() == 1; }));
     server.respond(0, response_of("", "ready"));
     block_loop(past_deadline);
