--- a/Source/crash_detector.h
+++ b/Source/crash_detector.h
@@ -38,6 +38,10 @@
     std::vector<wire::crash_report> on_server_down(const std::string& server, millis now);
     /// Merges a peer's report; returns true if it raised a count.
     bool merge(const wire::crash_report& report, millis now) { return counts_.merge(report, now); }
+    unsigned crashes(std::uint64_t fingerprint, millis now) const
+    {
+        return counts_.crashes(fingerprint, now);
+    }
     bool quarantined(std::uint64_t fingerprint, millis now) const
     {
         return counts_.quarantined(fingerprint, now);
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -43,6 +43,7 @@
     request_unknown_outcome = 1401,
     backend_crashed = 1402,
     request_quarantined = 1403,
+    crash_counted = 1404,
     backend_cold = 1501,
     backend_warm = 1502,
     credential_refused = 1601,
@@ -79,7 +80,7 @@
     std::string_view name;
 };
 
-inline constexpr std::size_t event_count = 49;
+inline constexpr std::size_t event_count = 50;
 
 /// Catalogue of all events, sorted by number.
 const std::array<event_description, event_count>& event_catalogue();
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -6,6 +6,8 @@
 #include "relay_state.h"
 #include "retry_budgets.h"
 
+#include <fmt/ranges.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -407,9 +409,14 @@
     if (failure == attempt_outcome::lost && !body_.empty()) {
         context_.state.crashes().record_loss(fingerprint(), backend_id_, now);
     }
-    log_event(event_id::attempt_failed, "request={} backend={} end={} after_ms={} head_passed={}",
-              metadata_.id, backend_id_, name_of(attempt_outcome_names, *failure),
-              (now - sent_at_).count(), response_head_sent_);
+    std::vector<std::uint64_t> parts;
+    for (const prompt_segment& part : metadata_.prompt) {
+        parts.push_back(part.hash);
+    }
+    log_event(event_id::attempt_failed,
+              "request={} backend={} end={} after_ms={} head_passed={} parts={:x}", metadata_.id,
+              backend_id_, name_of(attempt_outcome_names, *failure), (now - sent_at_).count(),
+              response_head_sent_, fmt::join(parts, ","));
     handle_failed_attempt(*failure);
 }
 
--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -69,6 +69,8 @@
 void relay_state::backend_down(const std::string& id)
 {
     for (const wire::crash_report& report : crashes_.on_server_down(id, core_.now())) {
+        log_event(event_id::crash_counted, "fingerprint={:016x} backend={} crashes={}",
+                  report.fingerprint(), id, crashes_.crashes(report.fingerprint(), core_.now()));
         if (crashes_.quarantined(report.fingerprint(), core_.now())) {
             log_event(event_id::request_quarantined, "fingerprint={:016x} backend={}",
                       report.fingerprint(), id);
