Failing tests: requests that share a harmful part of their prompts

Five requests that have one part of their prompts in common crash the server that begins to answer. On the current code four more of them then reach servers, and one beside sound requests of the same caller and first part does, too.

--- a/Tests/Relay/relay_repeats_test.cpp
+++ b/Tests/Relay/relay_repeats_test.cpp
@@ -2,6 +2,7 @@
 
 #include "relay_harness.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 using namespace cyclamen;
@@ -280,3 +281,81 @@
     other.send(post("/pay/", "sound"));
     expect_arrivals(crashes + 1);
 }
+
+namespace {
+
+// Requests of which one part of the prompt crashes the servers that begin to answer.
+class crashing_part : public relay_repeats {
+protected:
+    static std::string chat(unsigned number, const std::string& parts)
+    {
+        return post(
+            "/tell/", fmt::format("chat {}", number),
+            fmt::format("Attempt-Id: q1\r\nPrefix-Hash: a1:700,{},{:x}:130\r\n", parts, number));
+    }
+
+    void restart(scripted_backend& shop)
+    {
+        backend_entry again = fleet.state().backends().find(&shop == shops[0] ? "s1" : "s2")->entry;
+        ++again.started_at;
+        fleet.state().update_backend(again);
+    }
+
+    // Sends a request whose server crashes once it has begun to answer.
+    void crash_a_server(const std::string& request)
+    {
+        const std::size_t count = arrivals() + 1;
+        scripted_caller& caller = fleet.add_caller();
+        caller.send(request);
+        expect_arrivals(count);
+        std::size_t index = 0;
+        scripted_backend& shop = latest(index);
+        shop.respond(index, event_stream + "id: 1\n\n");
+        expect_status(caller, 200);
+        shop.reset(index);
+        ASSERT_TRUE(fleet.wait_for([&] { return caller.ended(); }));
+        restart(shop);
+    }
+};
+
+} // namespace
+
+// Guards against crashes that are counted for each request alone, so that requests which are not
+// alike but share a harmful part of their prompts crash one server after the other.
+TEST_F(crashing_part, is_sent_to_no_further_server_whatever_else_the_request_holds)
+{
+    for (unsigned number = 1; number <= 5; ++number) {
+        ASSERT_NO_FATAL_FAILURE(crash_a_server(chat(number, "bad:400")));
+    }
+    const std::size_t crashes = arrivals();
+    for (unsigned number = 6; number <= 9; ++number) {
+        scripted_caller& caller = fleet.add_caller();
+        caller.send(chat(number, "bad:400"));
+        expect_status(caller, 503);
+    }
+    EXPECT_EQ(arrivals(), crashes);
+}
+
+// Guards against a quarantine that takes the sound requests of the same caller along.
+TEST_F(crashing_part, leaves_sound_requests_with_the_same_key_and_first_part_alone)
+{
+    for (unsigned number = 1; number <= 5; ++number) {
+        ASSERT_NO_FATAL_FAILURE(crash_a_server(chat(number, "bad:400")));
+        const std::size_t count = arrivals() + 1;
+        scripted_caller& sound = fleet.add_caller();
+        sound.send(chat(100 + number, "c3:400"));
+        expect_arrivals(count);
+        std::size_t index = 0;
+        scripted_backend& shop = latest(index);
+        shop.respond(index, response_of("q1", "whole"));
+        expect_status(sound, 200);
+    }
+    const std::size_t before = arrivals();
+    scripted_caller& sound = fleet.add_caller();
+    sound.send(chat(200, "c3:400"));
+    expect_arrivals(before + 1);
+    scripted_caller& harmful = fleet.add_caller();
+    harmful.send(chat(201, "bad:400"));
+    expect_status(harmful, 503);
+    EXPECT_EQ(arrivals(), before + 1);
+}
