Attribute crashes of servers to what the lost requests have in common

Cause: crashes were counted by the identity of a request (account, target, body, last part), so that each harmful request had a count of its own; 1404 showed crashes=1 five times in a row.

crash_register replaces crash_counter. It keeps, for a request and for each part of its prompt but the last, in which server's end it was lost and when a request with it last completed. The quarantine is a function of that evidence: the suspect that explains most crashes since its last success, the most specific one of several, until no other has enough. So evidence may arrive in any sequence and from anyone, entries with the same evidence agree, and a part that sound requests share is cleared by their success. crash_detector joins losses with signs of a server's end in either sequence; entries send each other both. A refused connection is a sign, a timed-out one is not, since this entry may be cut off. An answer that ends with its connection and an answer that nobody waits for any more count as possible losses; only a success with a marked end clears. Each attempt is checked, not only the first.

The same fault in the fleet with agents: agents counted the identity of a chat, too. A dispatch now carries the hashes of a chat's earlier messages, and agents use the same register.

Not yet covered: what is known when all entries end at once.

--- a/Source/agent_core.cpp
+++ b/Source/agent_core.cpp
@@ -1,5 +1,6 @@
 #include "agent_core.h"
 
+#include "hashing.h"
 #include "refusal_names.h"
 
 #include <fmt/format.h>
@@ -12,6 +13,17 @@
 namespace {
 
 constexpr std::size_t max_recorded_answer_bytes = 4096; // longer answers are not stored in the log
+constexpr unsigned first_redirection = 300;
+
+// What the request has in common with others that may crash servers.
+std::vector<suspect> suspects_of(const wire::dispatch& request)
+{
+    std::vector<suspect> result{{.hash = request.fingerprint()}};
+    for (const std::uint64_t part : request.prompt_parts()) {
+        result.push_back({.hash = part, .position = static_cast<unsigned>(result.size())});
+    }
+    return result;
+}
 
 } // namespace
 
@@ -91,7 +103,7 @@
     if (time_left(message, now) <= 0ms) {
         return wire::deadline_passed;
     }
-    if (crashes_.quarantined(message.fingerprint(), now) ||
+    if (crashes_.quarantined(suspects_of(message), now) ||
         configuration_.quarantined(message.fingerprint())) {
         return wire::quarantined;
     }
@@ -443,10 +455,25 @@
     start_queued_jobs(now);
 }
 
-void agent_core::on_crash_report(const wire::crash_report& report, millis now)
+void agent_core::on_crash_evidence(const wire::crash_evidence& evidence, millis now)
 {
-    if (crashes_.merge(report, now)) {
-        hooks_.gossip_crash_report(report); // duplicates are not forwarded, so that gossip ends
+    std::vector<std::uint64_t> changed;
+    for (const wire::suspect_record& record : evidence.suspects()) {
+        if (crashes_.merge(record, now)) {
+            changed.push_back(record.suspect());
+        }
+    }
+    publish_crash_evidence(changed, now); // not what is known, so that gossip ends
+}
+
+void agent_core::publish_crash_evidence(const std::vector<std::uint64_t>& suspects, millis now)
+{
+    wire::crash_evidence evidence;
+    for (const std::uint64_t hash : suspects) {
+        *evidence.add_suspects() = crashes_.record(hash, now);
+    }
+    if (evidence.suspects_size() > 0) {
+        hooks_.gossip_crash_evidence(evidence);
     }
 }
 
@@ -490,6 +517,9 @@
     switch (end) {
     case run_outcome::complete:
         limits_.ramp().completed(now);
+        if (job.status < first_redirection) {
+            publish_crash_evidence(crashes_.record_success(suspects_of(job.request), now), now);
+        }
         end_job(id, job, wire::complete, now);
         break;
     case run_outcome::refused_connection:
@@ -500,8 +530,10 @@
         break;
     case run_outcome::crashed: {
         job.crashed = true;
-        hooks_.gossip_crash_report(
-            crashes_.record(job.request.fingerprint(), options_.instance, now));
+        const std::uint64_t server = combine_hashes(
+            combine_hashes(hash_of(options_.instance), options_.incarnation), backend_starts_);
+        publish_crash_evidence(crashes_.record_crash(suspects_of(job.request), server, now, now),
+                               now);
         ++metrics_.named("backend_crashes");
         end_job(id, job, wire::failed_maybe_run, now);
         break;
--- a/Source/agent_core.h
+++ b/Source/agent_core.h
@@ -5,7 +5,7 @@
 #include "claim_ledger.h"
 #include "configuration_state.h"
 #include "counters.h"
-#include "crash_counter.h"
+#include "crash_register.h"
 #include "entry_tracker.h"
 #include "fair_queue.h"
 #include "idempotency_guard.h"
@@ -21,6 +21,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <vector>
 
 namespace cyclamen {
 
@@ -41,7 +42,7 @@
     millis orphan_timeout = 10000ms;
     agent_limits_options limits{};
     fair_queue_options queue{};
-    crash_counter_options crashes{};
+    crash_register_options crashes{};
     entry_tracker_options entries{};
 };
 
@@ -67,7 +68,7 @@
         std::function<void(attempt_id, key_claim)> claim;
         std::function<void(key_release)> release;
         std::function<void(key_answer)> record_answer;
-        std::function<void(const wire::crash_report&)> gossip_crash_report;
+        std::function<void(const wire::crash_evidence&)> gossip_crash_evidence;
     };
 
     agent_core(agent_core_options options, const configuration_state& configuration,
@@ -84,7 +85,7 @@
 
     // Messages from peers.
     void on_load_report(const wire::load_report& report, millis now);
-    void on_crash_report(const wire::crash_report& report, millis now);
+    void on_crash_evidence(const wire::crash_evidence& evidence, millis now);
 
     // From the claim service: whether the attempt won its key, or that no decision was made.
     void on_claim_decided(attempt_id id, bool won, millis now);
@@ -99,6 +100,7 @@
     /// Result of a health probe.  `cold`: the server reports that it is cold, or is down.
     void on_backend_state(bool up, bool cold)
     {
+        backend_starts_ += up && !backend_up_ ? 1 : 0;
         backend_up_ = up;
         limits_.ramp().set_backend_cold(cold);
     }
@@ -115,7 +117,7 @@
     bool accepting() const;
     wire::load_report load_report() const;
     const cold_start_ramp& ramp() const { return limits_.ramp(); }
-    const crash_counter& crashes() const { return crashes_; }
+    const crash_register& crashes() const { return crashes_; }
     nlohmann::json describe(millis now) const;
 
 private:
@@ -128,6 +130,7 @@
     void begin(attempt_id id, agent_job& job, millis now);
     void run(attempt_id id, agent_job& job);
     void start_queued_jobs(millis now);
+    void publish_crash_evidence(const std::vector<std::uint64_t>& suspects, millis now);
     void end_job(attempt_id id, agent_job& job, wire::answer_end end, millis now);
     void record_tombstone(attempt_id id, millis now);
     void refuse_job(attempt_id id, wire::refusal reason, millis now);
@@ -146,7 +149,7 @@
     agent_limits limits_;
     idempotency_guard idempotency_guard_;
     fair_queue queue_;
-    crash_counter crashes_;
+    crash_register crashes_;
     job_table jobs_;
     entry_tracker entry_tracker_;
     std::map<std::uint64_t, attempt_id> queued_jobs_; // by handle in the fair queue
@@ -155,7 +158,8 @@
     bool stopping_ = false;
     bool leaving_ = false;
     bool backend_up_ = true;
-    bool was_withdrawn_ = false; // zone out of service or instance drained at the last tick
+    std::uint64_t backend_starts_ = 0; // times that the backend server was up again
+    bool was_withdrawn_ = false;       // zone out of service or instance drained at the last tick
 };
 
 } // namespace cyclamen
--- a/Source/agent_server.cpp
+++ b/Source/agent_server.cpp
@@ -15,6 +15,7 @@
 
 constexpr millis tick_interval = 100ms;
 constexpr millis probe_timeout = 1000ms;
+constexpr std::size_t suspects_per_repetition = 4;
 constexpr unsigned crash_gossip_fanout = 4; // number of random agents that a new report is sent to
 constexpr int http_ok = 200;
 
@@ -43,28 +44,34 @@
             .claim = [this](attempt_id id, key_claim item) { claims_->claim(id, std::move(item)); },
             .release = [this](key_release item) { claims_->release(std::move(item)); },
             .record_answer = [this](key_answer item) { claims_->record(std::move(item)); },
-            .gossip_crash_report =
-                [this](const wire::crash_report& report) { gossip_crash_report(report); }};
+            .gossip_crash_evidence =
+                [this](const wire::crash_evidence& evidence) { gossip_crash_evidence(evidence); }};
 }
 
-// Sends a crash report to random agents, which forward reports that are new to them.
-void agent_server::gossip_crash_report(const wire::crash_report& report)
+// Sends what is new about crashes to random agents, which forward what is new to them.
+void agent_server::gossip_crash_evidence(const wire::crash_evidence& evidence)
 {
-    if (agent_core_->crashes().quarantined(report.fingerprint(), core_.now())) {
-        log_event(event_id::request_quarantined, "fingerprint={:016x}", report.fingerprint());
+    for (const wire::suspect_record& record : evidence.suspects()) {
+        if (agent_core_->crashes().quarantined(record.suspect(), core_.now())) {
+            log_event(event_id::request_quarantined, "suspect={:016x} position={} crashes={}",
+                      record.suspect(), record.position(),
+                      agent_core_->crashes().crashes(record.suspect(), core_.now()));
+        }
     }
     wire::envelope message;
-    *message.mutable_crash_report() = report;
+    *message.mutable_crash_evidence() = evidence;
     peers_->send_to_random(crash_gossip_fanout, message);
 }
 
-// Resends one past crash report periodically, so that agents that missed it converge.
+// Resends a part of what is known periodically, so that agents that missed it converge.
 void agent_server::gossip_past_crash()
 {
-    const auto report = agent_core_->crashes().report(core_.random());
-    if (report) {
-        wire::envelope message;
-        *message.mutable_crash_report() = *report;
+    wire::envelope message;
+    for (wire::suspect_record& record :
+         agent_core_->crashes().records(core_.random(), suspects_per_repetition, core_.now())) {
+        *message.mutable_crash_evidence()->add_suspects() = std::move(record);
+    }
+    if (message.has_crash_evidence()) {
         peers_->send_to_random(1, message);
     }
 }
@@ -165,8 +172,8 @@
     case wire::envelope::kLoadReport:
         agent_core_->on_load_report(message.load_report(), now);
         return;
-    case wire::envelope::kCrashReport:
-        agent_core_->on_crash_report(message.crash_report(), now);
+    case wire::envelope::kCrashEvidence:
+        agent_core_->on_crash_evidence(message.crash_evidence(), now);
         return;
     default:
         ++core_.metrics().named("peer_messages_unexpected");
--- a/Source/agent_server.h
+++ b/Source/agent_server.h
@@ -59,7 +59,7 @@
     void query_health(std::function<void(backend_health)> on_health);
     void update_health(backend_health health);
     void update_from_directory();
-    void gossip_crash_report(const wire::crash_report& report);
+    void gossip_crash_evidence(const wire::crash_evidence& evidence);
     void gossip_past_crash();
     agent_core::hooks make_hooks();
     bool send_farewell(const std::string& route);
--- a/Source/backend_table.cpp
+++ b/Source/backend_table.cpp
@@ -19,6 +19,11 @@
     return in_flight + others;
 }
 
+std::uint64_t backend::incarnation() const
+{
+    return combine_hashes(combine_hashes(hash, entry.started_at), hash_of(entry.address.text()));
+}
+
 backend_table::put_result backend_table::put(const backend_entry& entry, millis now)
 {
     std::unique_ptr<backend>& stored = servers_[entry.id];
--- a/Source/backend_table.h
+++ b/Source/backend_table.h
@@ -44,6 +44,8 @@
     /// Estimated number of requests running or waiting at the server, from all entries.
     unsigned load(millis now) const;
     bool cold(millis now) const { return now < cold_until; }
+    /// Hash that identifies this incarnation of the server on all entries.
+    std::uint64_t incarnation() const;
 };
 
 struct backend_table_options {
--- a/Source/caller_server.cpp
+++ b/Source/caller_server.cpp
@@ -260,6 +260,9 @@
     request.message.set_path("/v1/chat/completions");
     request.message.set_content_type("application/json");
     request.message.set_body(caller->body());
+    for (const std::uint64_t part : model->parts) {
+        request.message.add_prompt_parts(part);
+    }
     submit(caller, std::move(request), model->stream);
 }
 
--- a/Source/chat_request.cpp
+++ b/Source/chat_request.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 using json = nlohmann::json;
+
+constexpr std::size_t max_parts = 64;
 } // namespace
 
 std::optional<chat_request> chat_request::parse(std::string_view body, const std::string& account,
@@ -42,6 +44,11 @@
     chat_request request;
     request.model = model->get<std::string>();
     request.stream = stream != document.end() && stream->get<bool>();
+    for (const json& message : *messages) {
+        if (&message != &messages->back() && request.parts.size() < max_parts) {
+            request.parts.push_back(hash_of(request.model + message.dump()));
+        }
+    }
     const json& first = messages->front();
     request.placement.prefix =
         combine_hashes(hash_of(account), hash_of(request.model + first.dump()));
--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -61,6 +61,7 @@
     handlers receivers;
     std::string unsent_request; // serialized request, until the connection is established
     bool connected = false;
+    bool refused = false;
     bool closed = false;
     bool call_open = false;         // a call is in progress
     bool response_started = false;  // response bytes have arrived for the current call
@@ -327,12 +328,14 @@
 
     void on_disconnected(short what)
     {
+        const int error = EVUTIL_SOCKET_ERROR();
         const std::shared_ptr<state> hold = shared_from_this();
         if (!call_open) {
             on_closed_while_idle();
             return;
         }
         if (!connected) {
+            refused = (what & BEV_EVENT_ERROR) != 0 && error == ECONNREFUSED;
             finish(http_call_result::not_sent);
             return;
         }
@@ -482,6 +485,11 @@
     return !state_->closed && !state_->call_open && state_->connected && !state_->input_waiting();
 }
 
+bool client_connection::refused() const
+{
+    return state_->refused;
+}
+
 std::optional<millis> client_connection::keep_alive_timeout() const
 {
     return state_->keep_alive_timeout;
--- a/Source/client_connection.h
+++ b/Source/client_connection.h
@@ -74,6 +74,8 @@
     /// True if the connection is established, no call is in progress, and neither unexpected bytes
     /// nor the end of the connection have arrived.
     bool reusable() const;
+    /// True if the server's machine refused the connection: no process listens at the address.
+    bool refused() const;
     /// Timeout of the server's Keep-Alive header, if it sent one.
     std::optional<millis> keep_alive_timeout() const;
     /// True if response bytes have arrived for the current call.
--- a/Source/crash_detector.h
+++ b/Source/crash_detector.h
@@ -1,65 +1,69 @@
 #pragma once
 
-#include "crash_counter.h"
+#include "crash_register.h"
 
+#include <map>
 #include <string>
 #include <vector>
 
 namespace cyclamen {
 
 struct crash_detector_options {
-    // Time from the loss of a request within which the crash of its server becomes visible, by a
-    // refused connection or by the entry of the restarted server.
+    // Longest time between the loss of a request and the sign that its server is down, such as a
+    // refused connection or the removal of its entry.
     millis detection_window = 8000ms;
     std::size_t max_losses = 1024; // recent losses stored; beyond that the oldest are evicted
     // A crash also loses unrelated requests in flight at the server, whose callers retry them.  A
     // third loss of the same request is unlikely to be a coincidence.
-    crash_counter_options counts{.quarantine_threshold = 3, .retention = 60000ms};
+    crash_register_options evidence{.request_threshold = 3, .retention = 900000ms};
 };
 
-/// Detects requests that crash backend servers, from the view of the process that sends them: a
-/// missing response, followed by signs that the server is down.  Reads no clock: the caller
-/// passes the current time.
+/// Detects what crashes backend servers, from the view of a process that sends requests to them:
+/// a missing response, and a sign that the server is down.  Each may be seen by this process or
+/// by a peer, in any sequence.  Reads no clock: the caller passes the current time.
 class crash_detector {
 public:
-    /// `observer` is the name of this process in reports.
-    explicit crash_detector(std::string observer, crash_detector_options options = {})
-        : observer_(std::move(observer)), options_(options), counts_(options.counts)
+    explicit crash_detector(crash_detector_options options = {})
+        : options_(options), evidence_(options.evidence)
     {
     }
 
-    /// Records that a request was sent to the server with the id `server` and got no response.
-    void record_loss(std::uint64_t fingerprint, const std::string& server, millis now);
-    /// Records that a request completed: its earlier losses were coincidences, so its count is
-    /// reset.
-    void record_success(std::uint64_t fingerprint);
-    /// Counts a crash for each request recently lost at `server`, which is down or has restarted.
-    /// Returns the reports for peers.
-    std::vector<wire::crash_report> on_server_down(const std::string& server, millis now);
-    /// Merges a peer's report; returns true if it raised a count.
-    bool merge(const wire::crash_report& report, millis now) { return counts_.merge(report, now); }
-    unsigned crashes(std::uint64_t fingerprint, millis now) const
+    /// Records that a request with these suspects was sent to the incarnation `server` of a
+    /// backend server and that its response is missing, or has ended without a mark of its end.
+    /// Returns the suspects for which a crash was counted, because the server is known to be down.
+    std::vector<std::uint64_t> record_loss(const std::vector<suspect>& suspects,
+                                           std::uint64_t server, millis now);
+    /// Records that the incarnation `server` is down or was replaced.  Returns the suspects for
+    /// which a crash was counted.
+    std::vector<std::uint64_t> on_server_down(std::uint64_t server, millis now);
+    /// Whether that is known already.
+    bool known_down(std::uint64_t server) const { return down_.contains(server); }
+    /// Records that a request with these suspects completed, so that they did not cause the
+    /// crashes before.  Returns the suspects that this clears.
+    std::vector<std::uint64_t> record_success(const std::vector<suspect>& suspects, millis now)
     {
-        return counts_.crashes(fingerprint, now);
+        return evidence_.record_success(suspects, now);
     }
-    bool quarantined(std::uint64_t fingerprint, millis now) const
+    /// Merges what a peer knows of a suspect; returns true if any of it is new.
+    bool merge(const wire::suspect_record& record, millis now)
     {
-        return counts_.quarantined(fingerprint, now);
+        return evidence_.merge(record, now);
     }
-    /// Whether no crash is counted, so that callers can skip computing a fingerprint.
-    bool empty() const { return counts_.size() == 0; }
+    const crash_register& evidence() const { return evidence_; }
 
 private:
     struct loss {
-        std::uint64_t fingerprint = 0;
-        std::string server;
+        std::vector<suspect> suspects;
+        std::uint64_t server = 0;
         millis at{0};
     };
 
-    std::string observer_;
+    void forget_old(millis now);
+
     crash_detector_options options_;
-    crash_counter counts_;
-    std::vector<loss> losses_; // ordered by time
+    crash_register evidence_;
+    std::vector<loss> losses_;             // ordered by time
+    std::map<std::uint64_t, millis> down_; // servers recently found to be down, and when
 };
 
 } // namespace cyclamen
--- a/Source/event_log.cpp
+++ b/Source/event_log.cpp
@@ -128,6 +128,7 @@
         {event_id::backend_crashed, severity::error, "backend_crashed"},
         {event_id::request_quarantined, severity::warning, "request_quarantined"},
         {event_id::crash_counted, severity::info, "crash_counted"},
+        {event_id::quarantine_ended, severity::info, "quarantine_ended"},
         {event_id::backend_cold, severity::info, "backend_cold"},
         {event_id::backend_warm, severity::info, "backend_warm"},
         {event_id::credential_refused, severity::warning, "credential_refused"},
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -44,6 +44,7 @@
     backend_crashed = 1402,
     request_quarantined = 1403,
     crash_counted = 1404,
+    quarantine_ended = 1405,
     backend_cold = 1501,
     backend_warm = 1502,
     credential_refused = 1601,
@@ -80,7 +81,7 @@
     std::string_view name;
 };
 
-inline constexpr std::size_t event_count = 50;
+inline constexpr std::size_t event_count = 51;
 
 /// Catalogue of all events, sorted by number.
 const std::array<event_description, event_count>& event_catalogue();
--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -21,6 +21,10 @@
 constexpr std::size_t max_locations = 256;
 constexpr double outcome_count_scale = 10;    // outcome counts are sent as integers, in tenths
 constexpr std::size_t max_busy_reports = 128; // busy servers per digest; others are left out
+// Suspects of crashes that are repeated after each digest, and those that a peer gets at once when
+// it has started or was silent.
+constexpr std::size_t suspects_per_digest = 8;
+constexpr std::size_t max_suspects = 256;
 constexpr millis send_check_interval = 50ms;
 constexpr millis sweep_interval = 500ms;
 
@@ -59,10 +63,10 @@
             }
         }
     });
-    state_->crash_recorded.connect([this](const wire::crash_report& report) {
+    state_->crash_evidence_found.connect([this](const wire::crash_evidence& evidence) {
         for (auto& [address, row] : peers_) {
             wire::envelope message;
-            *message.mutable_crash_report() = report;
+            *message.mutable_crash_evidence() = evidence;
             row.socket->send({}, std::move(message));
         }
     });
@@ -191,6 +195,20 @@
         }
         row.pending_locations.clear();
         row.socket->send({}, std::move(message));
+        // Repeated, because a message may be lost and a peer may have been cut off.
+        send_crash_evidence(row, sequence_ * suspects_per_digest, suspects_per_digest);
+    }
+}
+
+// Sends a peer what is known of up to `count` suspects; `start` selects them in turn.
+void peer_gossip::send_crash_evidence(peer& to, std::size_t start, std::size_t count)
+{
+    wire::envelope message;
+    for (wire::suspect_record& record : state_->crashes().records(start, count, core_.now())) {
+        *message.mutable_crash_evidence()->add_suspects() = std::move(record);
+    }
+    if (message.has_crash_evidence()) {
+        to.socket->send({}, std::move(message));
     }
 }
 
@@ -206,8 +224,8 @@
     case wire::envelope::kRecordBatch:
         apply_record_batch(message.record_batch());
         return;
-    case wire::envelope::kCrashReport:
-        state_->crashes().merge(message.crash_report(), core_.now());
+    case wire::envelope::kCrashEvidence:
+        state_->merge_crash_evidence(message.crash_evidence());
         return;
     default:
         log_event(event_id::malformed_message, "body={}", static_cast<int>(message.body_case()));
@@ -228,9 +246,13 @@
     if (from.incarnation == digest.incarnation() && digest.sequence() <= from.sequence) {
         return;
     }
-    if (core_.now() - from.last_seen >= options_.peer_timeout) {
+    const bool returned = core_.now() - from.last_seen >= options_.peer_timeout;
+    if (returned) {
         log_event(event_id::peer_heard, "peer={} entries={}", digest.address(), entries());
     }
+    if (returned || from.incarnation != digest.incarnation()) {
+        send_crash_evidence(from, 0, max_suspects);
+    }
     from.incarnation = digest.incarnation();
     from.sequence = digest.sequence();
     from.last_seen = core_.now();
--- a/Source/peer_gossip.h
+++ b/Source/peer_gossip.h
@@ -11,6 +11,7 @@
 #include <wire.pb.h>
 
 #include <array>
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
@@ -45,7 +46,8 @@
 };
 
 /// Gossips with the other entries about state of which each sees only a part: log positions,
-/// requests in flight at backend servers and their outcomes, and prefix locations.  Forwards log
+/// requests in flight at backend servers and their outcomes, prefix locations, and what crashes
+/// servers.  Forwards log
 /// records to entries that do not get them from the log service.  Owned by the kernel as "news".
 class peer_gossip : public service {
 public:
@@ -85,6 +87,7 @@
     void add_peer(const std::string& address);
     void send_due_digests();
     wire::envelope digest(bool with_peers);
+    void send_crash_evidence(peer& to, std::size_t start, std::size_t count);
     void on_message(const std::string& route, const wire::envelope& message);
     void handle_digest(const wire::relay_digest& digest);
     void apply_counts(const std::string& address, const wire::relay_digest& digest);
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 
+constexpr int first_redirection = 300;
 constexpr int first_server_error = 500;
 constexpr int misdirected = 421;
 constexpr int bad_gateway = 502;
@@ -22,6 +23,8 @@
 constexpr int gateway_timeout = 504;
 // A timer that is handled later than this was held up by a busy event loop.
 constexpr millis max_timer_delay = 5ms;
+// Parts of a prompt that are examined when servers crash; prompts have a few.
+constexpr std::size_t max_suspect_parts = 64;
 
 bool is_event_stream(const http_head& head)
 {
@@ -70,14 +73,6 @@
     }
     const millis remaining = deadline_ + context_.options.deadline_slack - context_.core.now();
     deadline_timer_ = context_.core.after(std::max(1ms, remaining), [this] { on_deadline(); });
-    if (!body_.empty() && !context_.state.crashes().empty() &&
-        context_.state.crashes().quarantined(fingerprint(), context_.core.now())) {
-        log_event(event_id::request_refused,
-                  "request={} status={} reason=quarantined fingerprint={:016x}", metadata_.id,
-                  unavailable, fingerprint());
-        refuse(unavailable, "quarantined");
-        return;
-    }
     attempt();
 }
 
@@ -162,6 +157,9 @@
 
 void relay_exchange::attempt()
 {
+    if (refuse_quarantined()) {
+        return;
+    }
     if (service_.empty()) {
         service_ = choose_service();
         context_.retries.record_first_attempt(service_);
@@ -220,6 +218,7 @@
 {
     backend& server = *choice.server;
     backend_id_ = server.entry.id;
+    backend_incarnation_ = server.incarnation();
     tried_backends_.insert(backend_id_);
     ++server.in_flight;
     sent_at_ = context_.core.now();
@@ -310,6 +309,7 @@
 void relay_exchange::begin_caller_response(const http_head& head)
 {
     status_ = head.status;
+    response_end_marked_ = head.length || head.chunked;
     mode_ = is_event_stream(head) ? body_mode::events : body_mode::pass;
     if (response_head_sent_) {
         return;
@@ -391,7 +391,7 @@
         failure = attempt_outcome::lost;
     }
     if (server != nullptr && failure == attempt_outcome::not_sent) {
-        context_.state.backend_unreachable(*server);
+        context_.state.backend_unreachable(*server, connection_->refused());
     }
     else if (server != nullptr) {
         const bool bad = failure || status_ >= first_server_error;
@@ -400,14 +400,17 @@
     }
     release_call(false);
     if (!failure) {
-        if (!body_.empty() && !context_.state.crashes().empty()) {
-            context_.state.crashes().record_success(fingerprint());
+        if (!response_end_marked_) {
+            record_possible_crash();
+        }
+        else if (status_ < first_redirection) {
+            context_.state.request_completed(suspects());
         }
         finish_response();
         return;
     }
-    if (failure == attempt_outcome::lost && !body_.empty()) {
-        context_.state.crashes().record_loss(fingerprint(), backend_id_, now);
+    if (failure == attempt_outcome::lost) {
+        record_possible_crash();
     }
     std::vector<std::uint64_t> parts;
     for (const prompt_segment& part : metadata_.prompt) {
@@ -447,19 +450,55 @@
     end("answered");
 }
 
-// Identifies this request for crash detection.  Requests without a body are not fingerprinted,
-// because many callers send identical ones.
-std::uint64_t relay_exchange::fingerprint()
+// What this request has in common with others that may crash servers: itself, if it is repeated,
+// and the parts of its prompt but the last.  A request without a body is no suspect, because many
+// callers send identical ones.
+const std::vector<suspect>& relay_exchange::suspects()
 {
-    if (!fingerprint_) {
+    if (suspects_) {
+        return *suspects_;
+    }
+    suspects_.emplace();
+    if (!body_.empty()) {
         const std::uint64_t account = hash_of(account_ == nullptr ? "" : account_->name);
         const std::uint64_t target = combine_hashes(account, hash_of(caller_->request().target));
-        fingerprint_ = combine_hashes(target, hash_of(body_));
+        std::uint64_t fingerprint = combine_hashes(target, hash_of(body_));
         if (!metadata_.prompt.empty()) {
-            fingerprint_ = combine_hashes(*fingerprint_, metadata_.prompt.back().hash);
+            fingerprint = combine_hashes(fingerprint, metadata_.prompt.back().hash);
         }
+        suspects_->push_back({.hash = fingerprint});
     }
-    return *fingerprint_;
+    for (std::size_t index = 0; index + 1 < metadata_.prompt.size(); ++index) {
+        if (suspects_->size() > max_suspect_parts) {
+            break;
+        }
+        suspects_->push_back(
+            {.hash = metadata_.prompt[index].hash, .position = static_cast<unsigned>(index) + 1});
+    }
+    return *suspects_;
+}
+
+bool relay_exchange::refuse_quarantined()
+{
+    if (context_.state.crashes().size() == 0) {
+        return false;
+    }
+    const auto cause = context_.state.quarantined(suspects());
+    if (!cause) {
+        return false;
+    }
+    log_event(event_id::request_refused, "request={} reason=quarantined suspect={:016x} tries={}",
+              metadata_.id, *cause, tried_backends_.size());
+    ++context_.core.metrics().named("requests_quarantined");
+    give_up("quarantined");
+    return true;
+}
+
+// Reports that the server may have crashed while it ran this request.  Whether it did shows in
+// other signs.
+void relay_exchange::record_possible_crash()
+{
+    context_.state.request_lost(suspects(), backend_incarnation_);
 }
 
 void relay_exchange::refuse(int status, const std::string& reason)
@@ -524,6 +563,9 @@
         return;
     }
     const bool open = connection_ != nullptr;
+    if (open) {
+        record_possible_crash();
+    }
     release_call(true);
     if (response_head_sent_) {
         caller_->abort_response();
@@ -535,6 +577,10 @@
 
 void relay_exchange::on_caller_disconnect()
 {
+    // The caller may have left because the server is silent.
+    if (connection_ != nullptr) {
+        record_possible_crash();
+    }
     release_call(true);
     end("caller_left");
 }
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -3,6 +3,7 @@
 #include "backend_chooser.h"
 #include "caller_connection.h"
 #include "client_connection.h"
+#include "crash_register.h"
 #include "direct_attempts.h"
 #include "event_stream_splitter.h"
 #include "header_codec.h"
@@ -13,6 +14,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace cyclamen {
 
@@ -96,7 +98,9 @@
     void on_call_end(http_call_result end);
     void handle_failed_attempt(attempt_outcome end);
     void finish_response();
-    std::uint64_t fingerprint();
+    const std::vector<suspect>& suspects();
+    bool refuse_quarantined();
+    void record_possible_crash();
     void refuse(int status, const std::string& reason);
     void refuse(const relay_refusal& why);
     millis retry_after() const;
@@ -124,7 +128,7 @@
     const client_account* account_ = nullptr;
     request_metadata metadata_;
     std::string body_;
-    std::optional<std::uint64_t> fingerprint_;
+    std::optional<std::vector<suspect>> suspects_;
     std::unique_ptr<direct_attempts> attempts_;
     std::set<std::string> tried_backends_;
     millis started_at_{0};
@@ -137,14 +141,16 @@
 
     std::unique_ptr<client_connection> connection_;
     std::string backend_id_; // the backend server of the latest attempt
-    std::string service_;    // chosen among the services of the route
+    std::uint64_t backend_incarnation_ = 0;
+    std::string service_; // chosen among the services of the route
     millis sent_at_{0};
     body_mode mode_ = body_mode::discard;
     std::optional<attempt_outcome> failure_; // set if the response head reports a failure
     event_stream_splitter events_;
     bool response_head_sent_ = false;
     bool first_byte_seen_ = false;
-    int status_ = 0; // status sent to the caller; 0 before that
+    bool response_end_marked_ = false; // the response has a length or chunks
+    int status_ = 0;                   // status sent to the caller; 0 before that
     bool ended_ = false;
     bool last_look_ = false; // makes no further attempt, begins no response that is not complete
     std::optional<http_head> held_head_; // of a response that arrives during the last look
--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -6,6 +6,8 @@
 #include <fmt/ranges.h>
 #include <nlohmann/json.hpp>
 
+#include <utility>
+
 namespace cyclamen {
 
 namespace {
@@ -22,6 +24,7 @@
         }
         backends_.sweep(core_.now());
         locations_.sweep(core_.now());
+        check_quarantine();
     });
 }
 
@@ -46,10 +49,13 @@
     const bool changed = known == nullptr || known->entry.draining != entry.draining ||
                          known->entry.started_at != entry.started_at ||
                          (known->entry.cold_for == 0ms) != (entry.cold_for == 0ms);
+    const bool replaced = known != nullptr && known->entry.started_at < entry.started_at;
+    if (replaced && !known->entry.draining) {
+        backend_down(*known);
+    }
     const backend_table::put_result result = backends_.put(entry, core_.now());
     if (result == backend_table::put_result::new_incarnation) {
         locations_.remove_server(static_cast<std::uint32_t>(hash_of(entry.id)));
-        backend_down(entry.id);
     }
     if (result != backend_table::put_result::stale && changed) {
         log_event(event_id::backend_listed,
@@ -60,30 +66,103 @@
     }
 }
 
-void relay_state::backend_unreachable(backend& server)
+void relay_state::backend_unreachable(backend& server, bool refused)
 {
     backends_.record_connect_failure(server, core_.now());
-    backend_down(server.entry.id);
+    // A timeout may be due to this entry's own links.
+    if (refused && !server.entry.draining) {
+        backend_down(server);
+    }
+}
+
+void relay_state::backend_down(const backend& server)
+{
+    const std::uint64_t incarnation = server.incarnation();
+    const bool known = crashes_.known_down(incarnation);
+    const auto counted = crashes_.on_server_down(incarnation, core_.now());
+    if (!known || !counted.empty()) {
+        publish(counted, incarnation);
+    }
+}
+
+void relay_state::request_lost(const std::vector<suspect>& suspects, std::uint64_t incarnation)
+{
+    publish(crashes_.record_loss(suspects, incarnation, core_.now()));
+}
+
+void relay_state::request_completed(const std::vector<suspect>& suspects)
+{
+    publish(crashes_.record_success(suspects, core_.now()));
+}
+
+void relay_state::merge_crash_evidence(const wire::crash_evidence& evidence)
+{
+    const millis now = core_.now();
+    std::vector<std::uint64_t> counted;
+    for (const wire::crash_sighting& down : evidence.down()) {
+        const auto here = crashes_.on_server_down(down.server(), now);
+        counted.insert(counted.end(), here.begin(), here.end());
+    }
+    for (const wire::suspect_record& record : evidence.suspects()) {
+        crashes_.merge(record, now);
+    }
+    publish(counted);
+    check_quarantine();
 }
 
-void relay_state::backend_down(const std::string& id)
+// Tells the peers what has become known of these suspects, and that a server is down.
+void relay_state::publish(const std::vector<std::uint64_t>& suspects,
+                          std::optional<std::uint64_t> server_down)
 {
-    for (const wire::crash_report& report : crashes_.on_server_down(id, core_.now())) {
-        log_event(event_id::crash_counted, "fingerprint={:016x} backend={} crashes={}",
-                  report.fingerprint(), id, crashes_.crashes(report.fingerprint(), core_.now()));
-        if (crashes_.quarantined(report.fingerprint(), core_.now())) {
-            log_event(event_id::request_quarantined, "fingerprint={:016x} backend={}",
-                      report.fingerprint(), id);
+    wire::crash_evidence evidence;
+    for (const std::uint64_t hash : suspects) {
+        const wire::suspect_record& record = *evidence.add_suspects() =
+            crashes_.evidence().record(hash, core_.now());
+        log_event(event_id::crash_counted, "suspect={:016x} position={} crashes={} of={}", hash,
+                  record.position(), crashes_.evidence().crashes(hash, core_.now()),
+                  record.crashes_size());
+    }
+    if (server_down) {
+        evidence.add_down()->set_server(*server_down);
+    }
+    if (evidence.suspects_size() > 0 || evidence.down_size() > 0) {
+        crash_evidence_found.emit(evidence);
+        check_quarantine();
+    }
+}
+
+void relay_state::check_quarantine()
+{
+    const millis now = core_.now();
+    const std::set<std::uint64_t> before =
+        std::exchange(quarantine_, crashes_.evidence().quarantine(now));
+    for (const std::uint64_t hash : quarantine_) {
+        if (before.contains(hash)) {
+            continue;
         }
-        crash_recorded.emit(report);
+        log_event(event_id::request_quarantined, "suspect={:016x} crashes={}", hash,
+                  crashes_.evidence().crashes(hash, now));
+        quarantine_changed.emit(hash, true);
+    }
+    for (const std::uint64_t hash : before) {
+        if (quarantine_.contains(hash)) {
+            continue;
+        }
+        log_event(event_id::quarantine_ended, "suspect={:016x} crashes={}", hash,
+                  crashes_.evidence().crashes(hash, now));
+        quarantine_changed.emit(hash, false);
     }
 }
 
 void relay_state::remove_backend(const std::string& id)
 {
-    if (backends_.find(id) == nullptr) {
+    const backend* known = backends_.find(id);
+    if (known == nullptr) {
         return;
     }
+    if (!known->entry.draining) {
+        backend_down(*known);
+    }
     backends_.drop(id, core_.now());
     log_event(event_id::backend_gone, "backend={} kept_for_now={} source_age_ms={}", id,
               backends_.find(id) != nullptr, source_age().count());
@@ -169,11 +248,17 @@
                        {"load", server->load(now)},
                        {"unreachable", server->health.in_backoff(now)}};
     }
+    nlohmann::json suspects;
+    for (const std::uint64_t hash : quarantine_) {
+        suspects[fmt::format("{:016x}", hash)] = crashes_.evidence().crashes(hash, now);
+    }
     return {{"version", routes_ == nullptr ? 0 : routes_->version()},
             {"version_age_ms", (now - configured_at_).count()},
             {"source_age_ms", source_age().count()},
             {"fresh", fresh()},
             {"zones_out", backends_.disabled_zones()},
+            {"suspects", crashes_.evidence().size()},
+            {"quarantine", suspects},
             {"backends", servers}};
 }
 
--- a/Source/relay_state.h
+++ b/Source/relay_state.h
@@ -21,6 +21,7 @@
     // from it may exist by now.
     millis fresh_for = 7000ms;
     backend_table_options backends;
+    crash_detector_options crashes;
 };
 
 /// The state of an entry that sends requests directly to backend servers: configuration,
@@ -30,7 +31,7 @@
 class relay_state : public service {
 public:
     relay_state(kernel& core, relay_state_options options)
-        : core_(core), options_(options), backends_(options.backends), crashes_(core.instance()),
+        : core_(core), options_(options), backends_(options.backends), crashes_(options.crashes),
           confirmed_at_(core.now())
     {
     }
@@ -65,10 +66,23 @@
     }
     const prefix_locations& locations() const { return locations_; }
 
-    /// Reports that a connection to the server could not be established.
-    void backend_unreachable(backend& server);
-    /// Detects requests that crash servers, from observations of all entries.
-    crash_detector& crashes() { return crashes_; }
+    /// Reports that a connection to the server could not be established; `refused` is true if
+    /// its machine answered that no process listens there.
+    void backend_unreachable(backend& server, bool refused);
+    /// Reports that the response to a request with these suspects is missing, or has ended without
+    /// a mark of its end, at one incarnation of a server.
+    void request_lost(const std::vector<suspect>& suspects, std::uint64_t incarnation);
+    /// Reports that a request with these suspects completed.
+    void request_completed(const std::vector<suspect>& suspects);
+    /// Merges what a peer, or an earlier process, knows about crashes.
+    void merge_crash_evidence(const wire::crash_evidence& evidence);
+    /// The first of the suspects that is quarantined, if any.
+    std::optional<std::uint64_t> quarantined(const std::vector<suspect>& suspects) const
+    {
+        return crashes_.evidence().quarantined(suspects, core_.now());
+    }
+    /// What crashes servers, as concluded from the observations of all entries.
+    const crash_register& crashes() const { return crashes_.evidence(); }
 
     /// The configuration in force; null until the first one arrives.
     std::shared_ptr<const route_table> routes() const { return routes_; }
@@ -82,13 +96,18 @@
     sigc::signal<void()> configured;
     /// Raised when this entry has sent a prompt prefix to a server not known to cache it.
     sigc::signal<void(prefix_locations::location)> location_added;
-    /// Raised when a request was associated with the crash of a server.
-    sigc::signal<void(const wire::crash_report&)> crash_recorded;
+    /// Raised when this entry has found evidence about crashes that its peers may lack.
+    sigc::signal<void(const wire::crash_evidence&)> crash_evidence_found;
+    /// Raised when a suspect was quarantined or released.
+    sigc::signal<void(std::uint64_t hash, bool quarantined)> quarantine_changed;
     /// Returns whether the source of at least one peer answers; set by peer_gossip.
     std::function<bool()> peer_source_available;
 
 private:
-    void backend_down(const std::string& id);
+    void backend_down(const backend& server);
+    void publish(const std::vector<std::uint64_t>& suspects,
+                 std::optional<std::uint64_t> server_down = std::nullopt);
+    void check_quarantine();
     void mark_source_lost(const std::string& why);
     void mark_source_regained();
 
@@ -98,6 +117,7 @@
     backend_table backends_;
     prefix_locations locations_;
     crash_detector crashes_;
+    std::set<std::uint64_t> quarantine_; // suspects of which `quarantine_changed` was raised
     bool complete_ = false;
     bool source_lost_ = false;
     millis confirmed_at_{0};
