--- a/Source/event_log.cpp
+++ b/Source/event_log.cpp
@@ -129,6 +129,8 @@
         {event_id::request_quarantined, severity::warning, "request_quarantined"},
         {event_id::crash_counted, severity::info, "crash_counted"},
         {event_id::quarantine_ended, severity::info, "quarantine_ended"},
+        {event_id::quarantine_stored, severity::info, "quarantine_stored"},
+        {event_id::quarantine_read, severity::info, "quarantine_read"},
         {event_id::backend_cold, severity::info, "backend_cold"},
         {event_id::backend_warm, severity::info, "backend_warm"},
         {event_id::credential_refused, severity::warning, "credential_refused"},
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -45,6 +45,8 @@
     request_quarantined = 1403,
     crash_counted = 1404,
     quarantine_ended = 1405,
+    quarantine_stored = 1406,
+    quarantine_read = 1407,
     backend_cold = 1501,
     backend_warm = 1502,
     credential_refused = 1601,
@@ -81,7 +83,7 @@
     std::string_view name;
 };
 
-inline constexpr std::size_t event_count = 51;
+inline constexpr std::size_t event_count = 53;
 
 /// Catalogue of all events, sorted by number.
 const std::array<event_description, event_count>& event_catalogue();
--- /dev/null
+++ b/Source/quarantine_archive.cpp
@@ -0,0 +1,102 @@
+#include "quarantine_archive.h"
+
+#include "event_log.h"
+#include "relay_state.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace cyclamen {
+
+namespace {
+
+constexpr millis retry_interval = 1000ms;
+
+} // namespace
+
+void quarantine_archive::start()
+{
+    state_ = &core_.find<relay_state>("knowledge");
+    state_->quarantine_changed.connect(
+        [this](std::uint64_t /*suspect*/, bool /*quarantined*/) { synchronise(); });
+    timer_ = core_.every(retry_interval, [this] { synchronise(); });
+    synchronise();
+}
+
+// Makes the store agree with the quarantine, one call at a time.
+void quarantine_archive::synchronise()
+{
+    if (call_open_) {
+        return;
+    }
+    if (!read_done_) {
+        read();
+        return;
+    }
+    if (hooks_.should_write && !hooks_.should_write()) {
+        return;
+    }
+    const std::set<std::uint64_t>& quarantine = state_->crashes().quarantine(core_.now());
+    for (const std::uint64_t suspect : quarantine) {
+        if (stored_.contains(suspect)) {
+            continue;
+        }
+        call_open_ = true;
+        hooks_.store(state_->crashes().record(suspect, core_.now()),
+                     [this, suspect](bool done) { on_written(suspect, true, done); });
+        return;
+    }
+    for (const std::uint64_t suspect : stored_) {
+        if (quarantine.contains(suspect)) {
+            continue;
+        }
+        call_open_ = true;
+        hooks_.remove(suspect, [this, suspect](bool done) { on_written(suspect, false, done); });
+        return;
+    }
+}
+
+void quarantine_archive::on_written(std::uint64_t suspect, bool stored, bool confirmed)
+{
+    call_open_ = false;
+    log_event(event_id::quarantine_stored, "suspect={:016x} stored={} confirmed={}", suspect,
+              stored, confirmed);
+    if (!confirmed) {
+        return; // the timer tries again
+    }
+    if (stored) {
+        stored_.insert(suspect);
+    }
+    else {
+        stored_.erase(suspect);
+    }
+    synchronise();
+}
+
+void quarantine_archive::read()
+{
+    call_open_ = true;
+    hooks_.read([this](const std::optional<std::vector<wire::suspect_record>>& records) {
+        call_open_ = false;
+        if (!records) {
+            return; // the timer tries again
+        }
+        read_done_ = true;
+        wire::crash_evidence evidence;
+        for (const wire::suspect_record& record : *records) {
+            stored_.insert(record.suspect());
+            *evidence.add_suspects() = record;
+        }
+        log_event(event_id::quarantine_read, "suspects={}", records->size());
+        state_->merge_crash_evidence(evidence);
+        synchronise();
+    });
+}
+
+nlohmann::json quarantine_archive::describe() const
+{
+    return {{"read", read_done_}, {"stored", stored_.size()}};
+}
+
+} // namespace cyclamen
--- /dev/null
+++ b/Source/quarantine_archive.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "kernel.h"
+#include "service.h"
+
+#include <nlohmann/json_fwd.hpp>
+#include <wire.pb.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace cyclamen {
+
+class relay_state;
+
+/// Keeps what crashes servers beyond the life of all entries: reads the quarantined suspects from
+/// a store at the start, and stores those that the entries quarantine later.  Owned by the kernel
+/// as "quarantine".
+class quarantine_archive : public service {
+public:
+    struct hooks {
+        /// Reads the stored suspects; passes nothing on if the store did not answer.
+        std::function<void(std::function<void(std::optional<std::vector<wire::suspect_record>>)>)>
+            read;
+        /// Stores what is known of a suspect; passes on whether the store has confirmed that.
+        std::function<void(const wire::suspect_record&, std::function<void(bool stored)>)> store;
+        /// Removes a suspect from the store.
+        std::function<void(std::uint64_t suspect, std::function<void(bool removed)>)> remove;
+        /// False while peers write to the store for this entry.
+        std::function<bool()> should_write;
+    };
+
+    quarantine_archive(kernel& core, hooks collaborators)
+        : core_(core), hooks_(std::move(collaborators))
+    {
+    }
+
+    std::string_view name() const override { return "quarantine"; }
+    void start() override;
+    nlohmann::json describe() const override;
+
+private:
+    void synchronise();
+    void read();
+    void on_written(std::uint64_t suspect, bool stored, bool confirmed);
+
+    kernel& core_;
+    hooks hooks_;
+    relay_state* state_ = nullptr;
+    bool read_done_ = false;
+    bool call_open_ = false;
+    std::set<std::uint64_t> stored_; // suspects that the store holds, as far as known here
+    kernel::timer timer_;
+};
+
+} // namespace cyclamen
--- a/Tests/Platform/platform_test.cpp
+++ b/Tests/Platform/platform_test.cpp
@@ -154,3 +154,35 @@
         request, {.time_left = 70ms, .prompt_source = net_address{.host = "10.1.0.2", .port = 81}});
     EXPECT_EQ(sent.header_or("Kv-Fetch", ""), "10.1.0.2:81");
 }
+
+TEST(platform_quarantine, a_suspect_is_read_as_it_was_written_but_older)
+{
+    wire::suspect_record record;
+    record.set_suspect(0xfedcba9876543210);
+    record.set_position(2);
+    record.add_crashes()->set_server(0x8000000000000001);
+    record.mutable_crashes(0)->set_age_ms(500);
+    const std::string text = encode_suspect(record, 1700000000000ms);
+    std::string error;
+    const auto read =
+        decode_suspect(quarantine_key(record.suspect()), text, 1700000002000ms, error);
+    ASSERT_TRUE(read) << error;
+    EXPECT_EQ(read->suspect(), record.suspect());
+    EXPECT_EQ(read->position(), 2U);
+    ASSERT_EQ(read->crashes_size(), 1);
+    EXPECT_EQ(read->crashes(0).server(), 0x8000000000000001);
+    EXPECT_EQ(read->crashes(0).age_ms(), 2500U);
+}
+
+TEST(platform_quarantine, a_record_that_another_program_wrote_is_refused_with_a_reason)
+{
+    for (const char* text : {"", "[]", R"({"Position": 1})", R"({"Position":1,"Crashes":[{}]})",
+                             R"({"Position":1,"Crashes":[{"Server":"x","At":1}]})"}) {
+        std::string error;
+        EXPECT_FALSE(decode_suspect("0000000000000007", text, 1ms, error)) << text;
+        EXPECT_FALSE(error.empty()) << text;
+    }
+    std::string error;
+    EXPECT_FALSE(decode_suspect("no hash", R"({"Position":1,"Crashes":[]})", 1ms, error));
+    EXPECT_FALSE(error.empty());
+}
