Take a stream that ends inside an event as broken off

What callers saw: a response without a length or chunks ends with its connection. When a server broke down inside an event of such a stream, the rest of the event was forwarded and the response ended as if it were complete; a stream that may be resumed was not, and the server's failure was not counted.

Cause: only the framing of the response decided whether it was whole. An entry now also looks at the event that is not complete, an agent at the last bytes of the answer: neither is whole inside an event. The attempt counts as lost, so that a resumable stream goes on elsewhere and any other is cut off.

A stream that ends after a blank line is whole as before.

--- a/Source/agent_core.cpp
+++ b/Source/agent_core.cpp
@@ -495,7 +495,7 @@
         return;
     }
     agent_job& job = found->second;
-    job.answer.append(data);
+    job.append(data);
     if (job.answer.kept() > options_.max_answer_bytes) {
         hooks_.stop_run(id);
         on_run_end(id, run_outcome::too_large, now);
@@ -511,6 +511,9 @@
         return;
     }
     agent_job& job = found->second;
+    if (end == run_outcome::complete && job.broken_off()) {
+        end = run_outcome::lost;
+    }
     if (end != run_outcome::complete && end != run_outcome::too_large) {
         limits_.ramp().restart(now); // a server that drops connections may have restarted
     }
--- a/Source/agent_job.cpp
+++ b/Source/agent_job.cpp
@@ -1,5 +1,7 @@
 #include "agent_job.h"
 
+#include "event_stream_splitter.h"
+
 #include <algorithm>
 
 namespace cyclamen {
@@ -60,4 +62,17 @@
     return parts;
 }
 
+void agent_job::append(std::string_view data)
+{
+    constexpr std::size_t blank_line_bytes = 4;
+    answer.append(data);
+    answer_tail += data.substr(data.size() - std::min(data.size(), blank_line_bytes));
+    answer_tail.erase(0, answer_tail.size() - std::min(answer_tail.size(), blank_line_bytes));
+}
+
+bool agent_job::broken_off() const
+{
+    return content_type.starts_with("text/event-stream") && ends_inside_event(answer_tail);
+}
+
 } // namespace cyclamen
--- a/Source/agent_job.h
+++ b/Source/agent_job.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cyclamen {
@@ -54,6 +55,7 @@
     std::string token; // token of the claim; empty if there is none
     unsigned status = 0;
     std::string content_type;
+    std::string answer_tail; // the last bytes of the answer, to tell whether it is whole
     answer_buffer answer;
     std::uint64_t sent = 0;         // end offset of the bytes sent
     std::uint64_t acknowledged = 0; // end offset of the bytes acknowledged
@@ -66,6 +68,10 @@
     /// are in flight.
     std::vector<wire::answer_part> parts_to_send(attempt_id id, std::size_t window);
     void acknowledge(std::uint64_t received);
+    /// Appends data that the backend server sent.
+    void append(std::string_view data);
+    /// Whether the answer is an event stream that ends inside an event.
+    bool broken_off() const;
     /// True if the job has finished and the entry has acknowledged the whole answer.
     bool delivered() const
     {
--- a/Source/event_stream_splitter.cpp
+++ b/Source/event_stream_splitter.cpp
@@ -29,6 +29,12 @@
 
 } // namespace
 
+bool ends_inside_event(std::string_view tail)
+{
+    return tail.find_first_not_of("\r\n") != std::string_view::npos && !tail.ends_with("\n\n") &&
+           !tail.ends_with("\r\n\r\n");
+}
+
 std::string_view event_stream_splitter::feed(std::string_view data)
 {
     const std::size_t searched = partial_.size();
--- a/Source/event_stream_splitter.h
+++ b/Source/event_stream_splitter.h
@@ -5,6 +5,10 @@
 
 namespace cyclamen {
 
+/// Whether an event stream whose last bytes are `tail` (four or more, if there are as many) ends
+/// inside an event.
+bool ends_inside_event(std::string_view tail);
+
 /// Splits a `text/event-stream` body into complete events, so that a stream that breaks off
 /// in the middle of an event can be resumed at another backend server.  Owned by one exchange.
 class event_stream_splitter {
@@ -19,6 +23,8 @@
     const std::string& last_id() const { return last_id_; }
     /// The bytes received of an event that is not complete yet.
     std::string_view partial() const { return partial_; }
+    /// Whether the stream has been broken off if it ends here.
+    bool inside_event() const { return partial_.find_first_not_of("\r\n") != std::string::npos; }
 
 private:
     void update_last_id(std::string_view events);
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -390,6 +390,9 @@
     else if (outcome == http_call_result::lost && !failure) {
         failure = attempt_outcome::lost;
     }
+    else if (!failure && mode_ == body_mode::events && events_.inside_event()) {
+        failure = attempt_outcome::lost;
+    }
     if (server != nullptr && failure == attempt_outcome::not_sent) {
         context_.state.backend_unreachable(*server, connection_->refused());
     }
--- a/Tests/Relay/relay_repeats_test.cpp
+++ b/Tests/Relay/relay_repeats_test.cpp
@@ -363,3 +363,53 @@
     expect_status(harmful, 503);
     EXPECT_EQ(arrivals(), before + 1);
 }
+
+// Guards against a stream without a length whose connection breaks inside an event and that looks
+// complete to its caller.
+TEST_F(relay_repeats, a_stream_that_ends_inside_an_event_has_been_broken_off)
+{
+    scripted_caller& caller = fleet.add_caller();
+    caller.send(post("/tell/", "x"));
+    expect_arrivals(1);
+    std::size_t index = 0;
+    scripted_backend& shop = latest(index);
+    shop.respond(index, event_stream + "id: 1\n\nid: 2\ndata: hal");
+    shop.close(index);
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.ended(); }));
+    EXPECT_EQ(caller.received().find("\r\n0\r\n"), std::string::npos) << caller.received();
+}
+
+// Guards against the same stream being given up although another server may send the rest.
+TEST_F(relay_repeats, a_stream_that_ends_inside_an_event_goes_on_elsewhere)
+{
+    scripted_caller& caller = fleet.add_caller();
+    caller.send(post("/resume/", "x"));
+    expect_arrivals(1);
+    std::size_t index = 0;
+    scripted_backend& first = latest(index);
+    first.respond(index, event_stream + "id: 1\n\nid: 2\ndata: hal");
+    first.close(index);
+    expect_arrivals(2);
+    scripted_backend& second = latest(index);
+    EXPECT_EQ(second.header(index, "Last-Event-Id"), "1");
+    second.respond(index, event_stream + "id: 2\ndata: whole\n\n");
+    second.close(index);
+    ASSERT_TRUE(
+        fleet.wait_for([&] { return caller.received().find("\r\n0\r\n") != std::string::npos; }));
+    EXPECT_EQ(caller.received().find("hal\n"), std::string::npos);
+    EXPECT_NE(caller.received().find("data: whole"), std::string::npos);
+}
+
+// A response that ends with its connection, outside of an event, is whole.
+TEST_F(relay_repeats, a_stream_without_a_length_ends_with_its_connection)
+{
+    scripted_caller& caller = fleet.add_caller();
+    caller.send(post("/tell/", "x"));
+    expect_arrivals(1);
+    std::size_t index = 0;
+    scripted_backend& shop = latest(index);
+    shop.respond(index, event_stream + "id: 1\n\nid: 2\n\n\n");
+    shop.close(index);
+    ASSERT_TRUE(
+        fleet.wait_for([&] { return caller.received().find("\r\n0\r\n") != std::string::npos; }));
+}
