--- a/Tests/Decisions/agent_core_test.cpp
+++ b/Tests/Decisions/agent_core_test.cpp
@@ -100,3 +100,17 @@
     answer("data: one\n\ndata: two\n\n");
     EXPECT_EQ(end, wire::complete);
 }
+
+// Guards against chats that are not alike but share a harmful message, and crash one engine after
+// the other, and against a quarantine that takes sound chats of the same start along.
+TEST_F(agent_of_engine, refuses_chats_with_a_message_that_crashes_engines)
+{
+    constexpr std::uint64_t first_message = 10;
+    constexpr std::uint64_t harmful_message = 11;
+    for (std::uint64_t chat = 100; chat < 103; ++chat) {
+        ASSERT_EQ(dispatch(chat, {first_message, harmful_message}), wire::refusal_none);
+        crash();
+    }
+    EXPECT_EQ(dispatch(103, {first_message, harmful_message}), wire::quarantined);
+    EXPECT_EQ(dispatch(104, {first_message, 12}), wire::refusal_none);
+}
