Let the framing of a stream, where it has one, decide whether it is whole

The whole test run after failed in entry_process.loses_no_request_*: its backend server ends chunked streams without a blank line, and the entry cut them off. Chunks and a length mark the end of a response themselves; only a response that ends with its connection needs the look at the last event.

--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -390,7 +390,8 @@
     else if (outcome == http_call_result::lost && !failure) {
         failure = attempt_outcome::lost;
     }
-    else if (!failure && mode_ == body_mode::events && events_.inside_event()) {
+    else if (!failure && !response_end_marked_ && mode_ == body_mode::events &&
+             events_.inside_event()) {
         failure = attempt_outcome::lost;
     }
     if (server != nullptr && failure == attempt_outcome::not_sent) {
