Keep the limit that a backend server names for all entries together

The limit is read from each response, belongs to one incarnation, and ends with the first response that does not name it. Entries tell each other in their digests, the latest statement counts; the end is repeated for 10 s, so that entries that send the server nothing hear of it. A request that finds only limited servers waits as for cold ones, and is refused.

--- a/Source/backend_chooser.cpp
+++ b/Source/backend_chooser.cpp
@@ -6,6 +6,18 @@
 
 namespace cyclamen {
 
+namespace {
+
+// Time after which a stated limit is no longer kept if no response has repeated it.
+constexpr millis limit_lifetime = 60000ms;
+
+bool limited(const backend& server, millis now)
+{
+    return server.limit.per_second && now - server.limit.at < limit_lifetime;
+}
+
+} // namespace
+
 std::vector<backend*> backend_chooser::order_by_load(const pool_state& pool, millis now) const
 {
     std::vector<std::pair<unsigned, backend*>> costs;
@@ -149,6 +161,23 @@
     return server.cold_starts.allows(now);
 }
 
+// A limit is divided among a few entries, so that the first request of each fits into it.
+bool backend_chooser::admits_limited_start(backend& server, millis now) const
+{
+    if (!limited(server, now)) {
+        return true;
+    }
+    const double limit = *server.limit.per_second;
+    const unsigned sharers =
+        std::clamp(static_cast<unsigned>(std::min<double>(limit, entries_)), 1U, entries_);
+    if (entry_rank && entry_rank(server.hash) >= sharers) {
+        return false;
+    }
+    constexpr double one_at_a_time = 1; // size of the token bucket
+    server.limited_starts.set_rate(limit / sharers, one_at_a_time);
+    return server.limited_starts.allows(now);
+}
+
 // Compares with the other servers only: in a small pool a server's own failures raise the mean.
 bool backend_chooser::is_outlier(const backend_table& table, const pool_state& pool,
                                  const backend& server, millis now)
@@ -199,6 +228,10 @@
             choice.reason = "cold";
             continue;
         }
+        if (!admits_limited_start(*server, now)) {
+            choice.reason = "limited";
+            continue;
+        }
         const unsigned load = server->load(now);
         if (load + 1 > bound || is_outlier(table, pool, *server, now)) {
             if (fallback == nullptr || load < fallback->load(now)) {
@@ -230,6 +263,9 @@
         choice.server->cold(now)) {
         choice.server->cold_starts.take(now);
     }
+    if (choice.server != nullptr && limited(*choice.server, now)) {
+        choice.server->limited_starts.take(now);
+    }
     return choice;
 }
 
--- a/Source/backend_chooser.h
+++ b/Source/backend_chooser.h
@@ -5,6 +5,7 @@
 #include "placement.h"
 #include "prefix_locations.h"
 
+#include <functional>
 #include <optional>
 #include <set>
 #include <string>
@@ -90,6 +91,10 @@
     /// Sets the number of entries that share the start rate of a cold server.
     void set_entries(unsigned entries) { entries_ = std::max(1U, entries); }
 
+    /// Position of this entry among all, in a sequence that each entry has in common and that
+    /// differs by the given hash; 0 is the first.  If unset, this entry is the only one.
+    std::function<unsigned(std::uint64_t hash)> entry_rank;
+
     backend_choice choose(backend_table& table, const relay_service& service,
                           const backend_criteria& criteria, millis now);
 
@@ -112,6 +117,7 @@
                                     const backend_criteria& criteria, millis now) const;
     static bool is_outlier(const backend_table& table, const pool_state& pool,
                            const backend& server, millis now);
+    bool admits_limited_start(backend& server, millis now) const;
     bool admits_cold_start(backend& server, const relay_service& service, millis now) const;
 
     backend_chooser_options options_;
--- a/Source/backend_table.cpp
+++ b/Source/backend_table.cpp
@@ -283,4 +283,35 @@
     server.reported_at = now;
 }
 
+void backend_table::record_limit(backend& server, std::optional<double> per_second, millis now)
+{
+    if (per_second || server.limit.per_second) {
+        server.limit = {.per_second = per_second, .at = now};
+    }
+}
+
+std::vector<backend_table::limit_report> backend_table::limits_to_report(millis now) const
+{
+    // The end of a limit is repeated for this long, so that entries that were cut off hear of it.
+    constexpr millis end_retention = 10000ms;
+    std::vector<limit_report> result;
+    for (const auto& [id, server] : servers_) {
+        if (server->limit.per_second || now - server->limit.at < end_retention) {
+            result.push_back(
+                {.server = static_cast<std::uint32_t>(server->hash), .limit = server->limit});
+        }
+    }
+    return result;
+}
+
+void backend_table::record_limit_report(const limit_report& report, millis now)
+{
+    rebuild_indexes();
+    const auto found = by_hash_.find(report.server);
+    if (found != by_hash_.end() && report.limit.at <= now &&
+        report.limit.at > found->second->limit.at) {
+        found->second->limit = report.limit;
+    }
+}
+
 } // namespace cyclamen
--- a/Source/backend_table.h
+++ b/Source/backend_table.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -24,6 +25,12 @@
     unsigned slots = 0;
 };
 
+/// Limit that a backend server has stated for the requests of all entries together.
+struct stated_limit {
+    std::optional<double> per_second; // empty if the server has stated that there is none any more
+    millis at{-1000000};              // time of the statement; initially long past
+};
+
 /// State of one backend server as known to this entry.
 struct backend {
     backend_entry entry;
@@ -40,6 +47,8 @@
     millis reported_at{-1000000};     // time of the last load report; initially long past
     backend_health health;
     start_rate_limit cold_starts;
+    stated_limit limit;
+    start_rate_limit limited_starts;
 
     /// Estimated number of requests running or waiting at the server, from all entries.
     unsigned load(millis now) const;
@@ -93,6 +102,19 @@
     const backend_health& outcomes_of(const std::string& service) { return outcomes_[service]; }
     /// Records the load that the server reported to this entry.
     void record_load(backend& server, const backend_load& load, millis now);
+    /// Records whether a response of the server stated a limit of its requests.
+    static void record_limit(backend& server, std::optional<double> per_second, millis now);
+
+    /// What a server stated to this entry or to a peer.
+    struct limit_report {
+        std::uint32_t server = 0; // low 32 bits of the hash of its id
+        stated_limit limit;
+    };
+
+    /// The limits in force, and those that ended recently.
+    std::vector<limit_report> limits_to_report(millis now) const;
+    /// Records a report from a peer; ignored if it is not later than what is known.
+    void record_limit_report(const limit_report& report, millis now);
     /// Replaces the in-flight counts of the peer `entry`, keyed by the low 32 bits of the hash of
     /// the server's id.  Returns false if the old and the new counts are both empty.
     bool set_peer_in_flight(const std::string& entry, std::map<std::uint32_t, unsigned> counts);
--- a/Source/header_codec.h
+++ b/Source/header_codec.h
@@ -46,6 +46,8 @@
     // The server guarantees that it has not run the request and will not run it.
     bool not_run = false;
     std::optional<backend_load> load;
+    // Requests per second that the server takes from all entries together; empty for no limit.
+    std::optional<double> request_limit;
 };
 
 /// Reads and writes the headers of the platform on which the relay runs.  The relay's own code
--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -1,6 +1,7 @@
 #include "peer_gossip.h"
 
 #include "event_log.h"
+#include "hashing.h"
 #include "relay_state.h"
 
 #include <nlohmann/json.hpp>
@@ -25,6 +26,8 @@
 // it has started or was silent.
 constexpr std::size_t suspects_per_digest = 8;
 constexpr std::size_t max_suspects = 256;
+constexpr std::size_t max_limit_reports = 256; // limited servers per digest; others are left out
+constexpr double limit_scale = 1000;           // limits are sent in thousandths
 constexpr millis send_check_interval = 50ms;
 constexpr millis sweep_interval = 500ms;
 
@@ -36,7 +39,7 @@
 } // namespace
 
 peer_gossip::peer_gossip(kernel& core, peer_gossip_options options)
-    : core_(core), options_(std::move(options))
+    : core_(core), options_(std::move(options)), own_hash_(hash_of(options_.listen.text()))
 {
 }
 
@@ -93,6 +96,7 @@
         return;
     }
     peer& added = peers_[address];
+    added.hash = hash_of(address);
     // A peer that has not sent anything yet is treated like one whose time-out expires now: its
     // data is not used, but it counts as an entry until its retention period ends.
     added.last_seen = core_.now() - options_.peer_timeout;
@@ -118,6 +122,16 @@
     return others < static_cast<std::ptrdiff_t>(options_.log_readers);
 }
 
+unsigned peer_gossip::rank(std::uint64_t hash) const
+{
+    const millis now = core_.now();
+    const std::uint64_t own = combine_hashes(own_hash_, hash);
+    return static_cast<unsigned>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& row) {
+        return now - row.second.last_seen < options_.peer_timeout &&
+               combine_hashes(row.second.hash, hash) < own;
+    }));
+}
+
 millis peer_gossip::interval() const
 {
     const auto peers = static_cast<unsigned>(peers_.size());
@@ -165,6 +179,19 @@
             row.set_age_ms(static_cast<std::uint32_t>((core_.now() - report.at).count()));
         }
     }
+    for (const backend_table::limit_report& report :
+         state_->backends().limits_to_report(core_.now())) {
+        if (static_cast<std::size_t>(body.limits_size()) >= max_limit_reports) {
+            break;
+        }
+        wire::backend_limit& row = *body.add_limits();
+        row.set_backend(report.server);
+        if (report.limit.per_second) {
+            row.set_thousandths(static_cast<std::uint32_t>(
+                std::min(*report.limit.per_second * limit_scale, double{UINT32_MAX})));
+        }
+        row.set_age_ms(static_cast<std::uint32_t>((core_.now() - report.limit.at).count()));
+    }
     if (with_peers) {
         const millis now = core_.now();
         for (const auto& [address, row] : peers_) {
@@ -276,6 +303,14 @@
             {.server = row.backend(), .held = row.held(), .at = core_.now() - millis(row.age_ms())},
             core_.now());
     }
+    for (const wire::backend_limit& row : digest.limits()) {
+        backend_table::limit_report report{.server = row.backend()};
+        report.limit.at = core_.now() - millis(row.age_ms());
+        if (row.has_thousandths()) {
+            report.limit.per_second = row.thousandths() / limit_scale;
+        }
+        state_->backends().record_limit_report(report, core_.now());
+    }
     backend_table::outcomes_by_server outcomes;
     for (const wire::backend_ends& row : digest.ends()) {
         outcomes[row.backend()] = {.successes = row.good_tenths() / outcome_count_scale,
--- a/Source/peer_gossip.h
+++ b/Source/peer_gossip.h
@@ -63,6 +63,9 @@
     /// Number of known entries, including this one and peers that timed out but are still within
     /// their retention period.
     unsigned entries() const { return static_cast<unsigned>(peers_.size()) + 1; }
+    /// Position of this entry among those that are heard, in a sequence that all have in common and
+    /// that differs by `hash`; 0 is the first.
+    unsigned rank(std::uint64_t hash) const;
     /// Whether this entry must read the logs itself, because too few peers read them.
     bool must_read_logs() const;
     /// Adds peers whose addresses were obtained by other means than gossip.
@@ -80,6 +83,7 @@
         std::uint64_t sequence = 0;    // of the latest digest received from the peer
         millis last_seen{0};
         bool source_available = false; // whether the log service answers the peer's own reads
+        std::uint64_t hash = 0;        // of the address
         millis last_digest_sent{0};    // time of the last digest to this peer
         std::vector<prefix_locations::location> pending_locations; // to send with the next digest
     };
@@ -99,6 +103,7 @@
 
     kernel& core_;
     peer_gossip_options options_;
+    std::uint64_t own_hash_; // of the own address
     relay_state* state_ = nullptr;
     std::unique_ptr<message_socket> listen_socket_;
     std::map<std::string, peer> peers_; // by address
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -279,6 +279,9 @@
     if (server != nullptr && metadata.load) {
         context_.state.backends().record_load(*server, *metadata.load, context_.core.now());
     }
+    if (server != nullptr && server->incarnation() == backend_incarnation_) {
+        backend_table::record_limit(*server, metadata.request_limit, context_.core.now());
+    }
     if (metadata.not_run || head.status == misdirected) {
         discard_response(attempt_outcome::rejected);
         return true;
--- a/Source/relay_server.h
+++ b/Source/relay_server.h
@@ -64,6 +64,11 @@
     bool ready() const;
     /// Sets the number of entries, which divide the fleet-wide limits among themselves.
     void set_entries(unsigned entries);
+    /// Sets the position of this entry among all, see `backend_chooser::entry_rank`.
+    void set_entry_rank(std::function<unsigned(std::uint64_t hash)> rank)
+    {
+        chooser_.entry_rank = std::move(rank);
+    }
     /// Applies changed limits to later requests and shutdowns.
     void set_limits(const relay_limits& limits);
 
--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -246,6 +246,7 @@
                        {"cold", server->cold(now)},
                        {"in_flight", server->in_flight},
                        {"load", server->load(now)},
+                       {"limit", server->limit.per_second.value_or(0)},
                        {"unreachable", server->health.in_backoff(now)}};
     }
     nlohmann::json suspects;
--- a/Tests/Decisions/backend_choice_test.cpp
+++ b/Tests/Decisions/backend_choice_test.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <memory>
 
 using namespace cyclamen;
 
@@ -344,3 +345,112 @@
     }
     EXPECT_GE(copies, 20U);
 }
+
+namespace {
+
+// Entries that send prompts to one server as fast as its stated limit allows, in steps of 10 ms.
+class limited_pool {
+public:
+    limited_pool(unsigned entries, double limit) : limit_(limit)
+    {
+        for (unsigned number = 0; number < entries; ++number) {
+            pool& entry = *entries_.emplace_back(std::make_unique<pool>(2));
+            entry.chooser.set_entries(entries);
+            entry.chooser.entry_rank = [number](std::uint64_t /*hash*/) { return number; };
+        }
+        while (entries_[0]->choose(prompt_).server->entry.id != pool::name(0)) {
+            ++prompt_;
+        }
+    }
+
+    void run(millis duration)
+    {
+        for (millis at = now; at < now + duration; at += 10ms) {
+            for (const auto& entry : entries_) {
+                backend& server = *entry->table.find(pool::name(0));
+                backend_table::record_limit(server, limit_, at);
+                const backend* chosen = entry->choose(prompt_, 0, at).server;
+                if (chosen == &server) {
+                    arrivals_.push_back(at);
+                }
+            }
+        }
+    }
+
+    std::size_t arrivals() const { return arrivals_.size(); }
+    std::size_t most_in(millis window) const
+    {
+        std::size_t most = 0;
+        std::size_t first = 0;
+        for (std::size_t last = 0; last < arrivals_.size(); ++last) {
+            while (arrivals_[last] - arrivals_[first] >= window) {
+                ++first;
+            }
+            most = std::max(most, last - first + 1);
+        }
+        return most;
+    }
+
+private:
+    std::vector<std::unique_ptr<pool>> entries_;
+    double limit_;
+    std::uint64_t prompt_ = 1;
+    std::vector<millis> arrivals_;
+};
+
+} // namespace
+
+// srv_slow, capped: guards against a server that gets more requests than the limit that it names.
+TEST(backend_choice, entries_together_keep_the_limit_that_a_server_names)
+{
+    constexpr millis window = 4000ms;
+    constexpr millis duration = 20000ms;
+    for (const unsigned entries : {1U, 5U, 25U, 410U}) {
+        for (const double limit : {0.5, 1.0, 2.8, 7.5}) {
+            limited_pool fleet(entries, limit);
+            fleet.run(duration);
+            const auto allowed = static_cast<std::size_t>(1.5 * limit * 4) + 5;
+            EXPECT_LE(fleet.most_in(window), allowed) << entries << " entries, limit " << limit;
+            EXPECT_GE(static_cast<double>(fleet.arrivals()), 0.5 * limit * 20)
+                << "the server is left idle: " << entries << " entries, limit " << limit;
+        }
+    }
+}
+
+// srv_slow, capped: the limit ends with the first response that does not name it.
+TEST(backend_choice, a_limit_ends_when_the_server_no_longer_names_it)
+{
+    pool engines(1);
+    backend& server = *engines.table.find(pool::name(0));
+    backend_table::record_limit(server, 0.1, now);
+    EXPECT_NE(engines.choose(1).server, nullptr);
+    EXPECT_EQ(engines.choose(1).server, nullptr);
+    EXPECT_EQ(engines.choose(1).reason, "limited");
+    backend_table::record_limit(server, std::nullopt, now + 10ms);
+    EXPECT_NE(engines.choose(1, 0, now + 20ms).server, nullptr);
+}
+
+// srv_slow, capped: entries that send nothing to the server hear of its limit and of the end.
+TEST(backend_choice, the_latest_statement_of_a_server_counts_whoever_heard_it)
+{
+    pool first(1);
+    pool second(1);
+    backend& server = *first.table.find(pool::name(0));
+    const backend& same = *second.table.find(pool::name(0));
+    const auto tell = [&](millis at) {
+        for (const auto& report : first.table.limits_to_report(at)) {
+            second.table.record_limit_report(report, at);
+        }
+    };
+    tell(now);
+    EXPECT_FALSE(same.limit.per_second);
+    backend_table::record_limit(server, 2.5, now);
+    const auto outdated = first.table.limits_to_report(now);
+    tell(now + 100ms);
+    EXPECT_EQ(same.limit.per_second, 2.5);
+    backend_table::record_limit(server, std::nullopt, now + 200ms);
+    tell(now + 300ms);
+    EXPECT_FALSE(same.limit.per_second);
+    second.table.record_limit_report(outdated.front(), now + 400ms);
+    EXPECT_FALSE(same.limit.per_second) << "an older report replaced a newer one";
+}
--- a/Tests/Platform/platform_test.cpp
+++ b/Tests/Platform/platform_test.cpp
@@ -186,3 +186,19 @@
     EXPECT_FALSE(decode_suspect("no hash", R"({"Position":1,"Crashes":[]})", 1ms, error));
     EXPECT_FALSE(error.empty());
 }
+
+TEST(platform_headers, a_servers_limit_is_a_decimal_number_and_anything_else_is_no_limit)
+{
+    const auto limit_of = [](const std::string& value) {
+        http_head head;
+        head.status = 200;
+        head.add("Server-Limit", value);
+        return make_header_codec().read_response(head).request_limit;
+    };
+    EXPECT_EQ(limit_of("2.75"), 2.75);
+    EXPECT_EQ(limit_of("12"), 12);
+    EXPECT_EQ(limit_of("0"), 0);
+    for (const char* value : {"", "-1", "nan", "inf", "2.5 a second", "1e999"}) {
+        EXPECT_FALSE(limit_of(value)) << value;
+    }
+}
--- a/Tests/Relay/relay_repeats_test.cpp
+++ b/Tests/Relay/relay_repeats_test.cpp
@@ -413,3 +413,19 @@
     ASSERT_TRUE(
         fleet.wait_for([&] { return caller.received().find("\r\n0\r\n") != std::string::npos; }));
 }
+
+// Guards against a limit that the server names in its responses and that nobody reads.
+TEST_F(relay_repeats, a_server_that_names_a_limit_gets_the_next_requests_only_as_it_allows)
+{
+    scripted_caller& caller = fleet.add_caller();
+    caller.send(get("/view/"));
+    expect_arrivals(1);
+    std::size_t index = 0;
+    scripted_backend& shop = latest(index);
+    shop.respond(index, "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nServer-Signature: x\r\n"
+                        "Server-Limit: 0.05\r\nContent-Length: 2\r\n\r\nok");
+    expect_status(caller, 200);
+    const backend* limited = fleet.state().backends().find(&shop == shops[0] ? "s1" : "s2");
+    EXPECT_EQ(limited->limit.per_second, 0.05);
+    EXPECT_NE(caller.received().find("Server-Limit: 0.05"), std::string::npos);
+}
