--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -382,6 +382,12 @@
     }
 }
 
+// Whether the response ended with its connection, in the middle of an event.
+bool relay_exchange::ends_inside_event() const
+{
+    return !response_end_marked_ && mode_ == body_mode::events && events_.inside_event();
+}
+
 void relay_exchange::on_call_end(http_call_result outcome)
 {
     backend* server = context_.state.backends().find(backend_id_);
@@ -390,11 +396,7 @@
     if (outcome == http_call_result::not_sent) {
         failure = attempt_outcome::not_sent;
     }
-    else if (outcome == http_call_result::lost && !failure) {
-        failure = attempt_outcome::lost;
-    }
-    else if (!failure && !response_end_marked_ && mode_ == body_mode::events &&
-             events_.inside_event()) {
+    else if (!failure && (outcome == http_call_result::lost || ends_inside_event())) {
         failure = attempt_outcome::lost;
     }
     if (server != nullptr && failure == attempt_outcome::not_sent) {
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -95,6 +95,7 @@
     std::string_view ready_events(std::string_view data);
     void on_response_body(std::string_view data);
     void forward_body(std::string_view ready);
+    bool ends_inside_event() const;
     void on_call_end(http_call_result end);
     void handle_failed_attempt(attempt_outcome end);
     void finish_response();
