--- /dev/null
+++ b/Tests/Relay/peer_gossip_test.cpp
@@ -0,0 +1,139 @@
+// Tests what entries tell each other about backend servers, over sockets.
+
+#include "hashing.h"
+#include "peer_gossip.h"
+#include "relay_state.h"
+
+#include <event2/event.h>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace cyclamen;
+
+namespace {
+
+const std::vector<suspect> harmful{{.hash = 7, .position = 2}};
+
+net_address free_address()
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof address;
+    const bool bound = bind(descriptor, reinterpret_cast<sockaddr*>(&address), length) == 0 &&
+                       getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &length) == 0;
+    EXPECT_TRUE(bound);
+    ::close(descriptor);
+    return {.host = "127.0.0.1", .port = ntohs(address.sin_port)};
+}
+
+// An entry that knows one backend server.
+struct gossiping_entry {
+    gossiping_entry(const net_address& listen, const net_address& peer)
+        : state(core.add(std::make_unique<relay_state>(core, relay_state_options{}))),
+          gossip(core.add(std::make_unique<peer_gossip>(
+              core, peer_gossip_options{.listen = listen, .seeds = {peer}})))
+    {
+        state.update_backend({.id = "s1",
+                              .service = "shop",
+                              .address = {.host = "127.0.0.1", .port = 1},
+                              .started_at = 1});
+        gossip.start();
+    }
+
+    // Three servers end while they run requests with the harmful part.
+    void crash_servers()
+    {
+        for (std::uint64_t started_at = 2; started_at <= 4; ++started_at) {
+            state.request_lost(harmful, server().incarnation());
+            state.update_backend({.id = "s1",
+                                  .service = "shop",
+                                  .address = {.host = "127.0.0.1", .port = 1},
+                                  .started_at = started_at});
+        }
+    }
+
+    backend& server() { return *state.backends().find("s1"); }
+    bool quarantines() const { return state.quarantined(harmful).has_value(); }
+
+    kernel core{{.program = "test", .instance = "entry"}};
+    relay_state& state;
+    peer_gossip& gossip;
+    kernel::timer wake = core.every(5ms, [] {});
+};
+
+class two_entries : public testing::Test {
+protected:
+    void start(std::size_t at)
+    {
+        entries.at(at) = std::make_unique<gossiping_entry>(addresses.at(at), addresses.at(1 - at));
+    }
+
+    bool run_until(const std::function<bool()>& holds)
+    {
+        constexpr millis patience = 10000ms;
+        std::optional<millis> until;
+        while (!holds()) {
+            for (const auto& entry : entries) {
+                if (entry != nullptr) {
+                    const millis now = entry->core.now();
+                    until = until.value_or(now + patience);
+                    if (now > *until) {
+                        return false;
+                    }
+                    event_base_loop(entry->core.loop(), EVLOOP_ONCE);
+                }
+            }
+        }
+        return true;
+    }
+
+    std::array<net_address, 2> addresses{free_address(), free_address()};
+    std::array<std::unique_ptr<gossiping_entry>, 2> entries;
+};
+
+} // namespace
+
+// Guards against harmful requests that crash servers through an entry that was not there, or was
+// cut off, when others learned of them.
+TEST_F(two_entries, tell_an_entry_that_starts_later_what_crashes_servers)
+{
+    start(0);
+    entries[0]->crash_servers();
+    ASSERT_TRUE(entries[0]->quarantines());
+    start(1);
+    EXPECT_TRUE(run_until([&] { return entries[1]->quarantines(); }));
+    entries[1].reset();
+    start(1);
+    EXPECT_TRUE(run_until([&] { return entries[1]->quarantines(); }));
+}
+
+// Guards against a crash that nobody counts, because one entry lost the request and another was
+// refused a connection.
+TEST_F(two_entries, join_a_loss_at_one_with_a_refused_connection_at_the_other)
+{
+    start(0);
+    start(1);
+    ASSERT_TRUE(run_until([&] {
+        return entries[0]->gossip.rank(1) + entries[1]->gossip.rank(1) == 1;
+    })) << "each hears the other";
+    entries[0]->state.request_lost(harmful, entries[0]->server().incarnation());
+    entries[1]->state.backend_unreachable(entries[1]->server(), true);
+    EXPECT_TRUE(run_until([&] {
+        return entries[0]->state.crashes().crashes(harmful[0].hash, entries[0]->core.now()) == 1 &&
+               entries[1]->state.crashes().crashes(harmful[0].hash, entries[1]->core.now()) == 1;
+    }));
+}
+
+// A connection that times out may be due to the links of the entry itself.
+TEST_F(two_entries, count_no_crash_for_a_connection_that_timed_out)
+{
+    start(0);
+    entries[0]->state.request_lost(harmful, entries[0]->server().incarnation());
+    entries[0]->state.backend_unreachable(entries[0]->server(), false);
+    EXPECT_EQ(entries[0]->state.crashes().size(), 0U);
+}
