--- a/Tests/Relay/peer_gossip_test.cpp
+++ b/Tests/Relay/peer_gossip_test.cpp
@@ -137,3 +137,17 @@
     entries[0]->state.backend_unreachable(entries[0]->server(), false);
     EXPECT_EQ(entries[0]->state.crashes().size(), 0U);
 }
+
+// Guards against a limit that holds at the entry alone to which the server named it.
+TEST_F(two_entries, tell_each_other_the_limit_of_a_server_and_its_end)
+{
+    start(0);
+    start(1);
+    const auto state_limit = [&](std::optional<double> limit) {
+        backend_table::record_limit(entries[0]->server(), limit, entries[0]->core.now());
+    };
+    state_limit(2.5);
+    EXPECT_TRUE(run_until([&] { return entries[1]->server().limit.per_second == 2.5; }));
+    state_limit(std::nullopt);
+    EXPECT_TRUE(run_until([&] { return !entries[1]->server().limit.per_second; }));
+}
