Bound the messages and the memory of crash evidence

Read again for the two-year size: a server whose entry leaves the list made each entry tell each other one that it is down, 410 x 409 messages for what all read in the list themselves; only a refused connection is told now. Evidence is repeated with every fourth digest, not with each, and quarantined suspects beyond the first eight have their turn. The times of successes are stored for parts of prompts, no longer for each request; at the bound the oldest go, not all.

--- a/Source/crash_register.cpp
+++ b/Source/crash_register.cpp
@@ -59,16 +59,14 @@
                                                           millis now)
 {
     std::vector<std::uint64_t> cleared;
-    if (last_successes_.size() >= options_.max_successes) {
-        std::erase_if(last_successes_, [&](const auto& row) {
-            return now - row.second > options_.success_retention / 2;
-        });
-    }
-    if (last_successes_.size() >= options_.max_successes) {
-        last_successes_.clear();
+    for (millis oldest = options_.success_retention;
+         last_successes_.size() >= options_.max_successes; oldest /= 2) {
+        std::erase_if(last_successes_, [&](const auto& row) { return now - row.second >= oldest; });
     }
     for (const suspect& each : suspects) {
-        last_successes_[each.hash] = now;
+        if (each.position > 0) {
+            last_successes_[each.hash] = now;
+        }
         const auto found = entries_.find(each.hash);
         if (found == entries_.end()) {
             continue;
@@ -242,10 +240,10 @@
         return result;
     }
     const std::set<std::uint64_t>& first = quarantine(now);
-    for (const std::uint64_t hash : first) {
-        if (result.size() < count) {
-            result.push_back(record(hash, now));
-        }
+    const std::size_t first_count = std::min(first.size(), (count + 1) / 2);
+    for (std::size_t number = 0; number < first_count; ++number) {
+        const auto index = static_cast<std::ptrdiff_t>((start + number) % first.size());
+        result.push_back(record(*std::next(first.begin(), index), now));
     }
     auto at = std::next(entries_.begin(), static_cast<std::ptrdiff_t>(start % entries_.size()));
     for (std::size_t seen = 0; seen < entries_.size() && result.size() < count; ++seen) {
--- a/Source/crash_register.h
+++ b/Source/crash_register.h
@@ -30,7 +30,7 @@
     millis success_retention = 60000ms;
     millis retention = 3600000ms;     // retention of crashes
     std::size_t max_suspects = 4096;  // beyond that the oldest are evicted
-    std::size_t max_successes = 8192; // times of the last success; beyond that all are dropped
+    std::size_t max_successes = 8192; // parts whose success is stored; the oldest are dropped
 };
 
 /// Attributes crashes of backend servers to what the requests lost in them have in common.  A
@@ -65,8 +65,8 @@
 
     /// What is known of a suspect, for a peer.
     wire::suspect_record record(std::uint64_t hash, millis now) const;
-    /// The same for up to `count` suspects: the quarantined ones, then others in turn, starting
-    /// with the one numbered `start`.
+    /// The same for up to `count` suspects, at most half of them quarantined.  `start` is the
+    /// number of the first of each kind, so that all have their turn.
     std::vector<wire::suspect_record> records(std::size_t start, std::size_t count,
                                               millis now) const;
 
@@ -95,7 +95,7 @@
 
     crash_register_options options_;
     std::map<std::uint64_t, entry> entries_;                   // by hash of the suspect
-    std::unordered_map<std::uint64_t, millis> last_successes_; // of all requests, by suspect
+    std::unordered_map<std::uint64_t, millis> last_successes_; // by part of prompts
     // The quarantine as of `evaluated_at_`; empty after a change of the evidence.
     mutable std::optional<std::set<std::uint64_t>> quarantine_;
     mutable millis evaluated_at_{0};
--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -22,9 +22,10 @@
 constexpr std::size_t max_locations = 256;
 constexpr double outcome_count_scale = 10;    // outcome counts are sent as integers, in tenths
 constexpr std::size_t max_busy_reports = 128; // busy servers per digest; others are left out
-// Suspects of crashes that are repeated after each digest, and those that a peer gets at once when
+// Suspects of crashes that are repeated after some digests, and those that a peer gets at once when
 // it has started or was silent.
-constexpr std::size_t suspects_per_digest = 8;
+constexpr std::size_t digests_per_repetition = 4;
+constexpr std::size_t suspects_per_repetition = 8;
 constexpr std::size_t max_suspects = 256;
 constexpr std::size_t max_limit_reports = 256; // limited servers per digest; others are left out
 constexpr double limit_scale = 1000;           // limits are sent in thousandths
@@ -223,7 +224,9 @@
         row.pending_locations.clear();
         row.socket->send({}, std::move(message));
         // Repeated, because a message may be lost and a peer may have been cut off.
-        send_crash_evidence(row, sequence_ * suspects_per_digest, suspects_per_digest);
+        if (++row.digests_sent % digests_per_repetition == 0) {
+            send_crash_evidence(row, row.digests_sent, suspects_per_repetition);
+        }
     }
 }
 
--- a/Source/peer_gossip.h
+++ b/Source/peer_gossip.h
@@ -85,6 +85,7 @@
         bool source_available = false; // whether the log service answers the peer's own reads
         std::uint64_t hash = 0;        // of the address
         millis last_digest_sent{0};    // time of the last digest to this peer
+        std::size_t digests_sent = 0;
         std::vector<prefix_locations::location> pending_locations; // to send with the next digest
     };
 
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -400,7 +400,8 @@
         failure = attempt_outcome::lost;
     }
     if (server != nullptr && failure == attempt_outcome::not_sent) {
-        context_.state.backend_unreachable(*server, connection_->refused());
+        context_.state.backend_unreachable(
+            *server, connection_->refused() && server->incarnation() == backend_incarnation_);
     }
     else if (server != nullptr) {
         const bool bad = failure || status_ >= first_server_error;
--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -51,7 +51,7 @@
                          (known->entry.cold_for == 0ms) != (entry.cold_for == 0ms);
     const bool replaced = known != nullptr && known->entry.started_at < entry.started_at;
     if (replaced && !known->entry.draining) {
-        backend_down(*known);
+        publish(crashes_.on_server_down(known->incarnation(), core_.now()));
     }
     const backend_table::put_result result = backends_.put(entry, core_.now());
     if (result == backend_table::put_result::new_incarnation) {
@@ -70,13 +70,10 @@
 {
     backends_.record_connect_failure(server, core_.now());
     // A timeout may be due to this entry's own links.
-    if (refused && !server.entry.draining) {
-        backend_down(server);
+    if (!refused || server.entry.draining) {
+        return;
     }
-}
-
-void relay_state::backend_down(const backend& server)
-{
+    // The source tells all entries when a server restarts or leaves, but not that it refuses.
     const std::uint64_t incarnation = server.incarnation();
     const bool known = crashes_.known_down(incarnation);
     const auto counted = crashes_.on_server_down(incarnation, core_.now());
@@ -161,7 +158,7 @@
         return;
     }
     if (!known->entry.draining) {
-        backend_down(*known);
+        publish(crashes_.on_server_down(known->incarnation(), core_.now()));
     }
     backends_.drop(id, core_.now());
     log_event(event_id::backend_gone, "backend={} kept_for_now={} source_age_ms={}", id,
--- a/Source/relay_state.h
+++ b/Source/relay_state.h
@@ -104,7 +104,6 @@
     std::function<bool()> peer_source_available;
 
 private:
-    void backend_down(const backend& server);
     void publish(const std::vector<std::uint64_t>& suspects,
                  std::optional<std::uint64_t> server_down = std::nullopt);
     void check_quarantine();
