--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -286,7 +286,7 @@
     if (core_.now() - from.last_seen >= options_.peer_timeout) {
         log_event(event_id::peer_heard, "peer={} entries={}", digest.address(), entries());
     }
-    if (core_.now() - from.last_seen >= options_.peer_timeout ||
+    if (core_.now() - from.last_seen >= silence_limit() ||
         from.incarnation != digest.incarnation()) {
         send_crash_evidence(from, 0, max_suspects);
     }
