--- a/Source/log_follower.cpp
+++ b/Source/log_follower.cpp
@@ -49,7 +49,9 @@
     // Each page's records are usable at once.  Only after the last page can keys that are
     // missing from the listing be treated as deleted.
     for (const mirrored_record& record : page.records) {
-        mirror_.apply(record);
+        if (!mirror_.apply(record)) {
+            ++listed_and_ignored_;
+        }
     }
     listed_records_.insert(listed_records_.end(), std::make_move_iterator(page.records.begin()),
                            std::make_move_iterator(page.records.end()));
@@ -59,8 +61,9 @@
         request_next_page();
         return;
     }
-    log_event(event_id::records_resynchronised, "log={} keys={} end={} before={}", options_.name,
-              listed_records_.size(), *listing_end_, mirror_.position().value_or(0));
+    log_event(event_id::records_resynchronised, "log={} era={} keys={} ignored={} end={} before={}",
+              options_.name, page.era.value_or(0), listed_records_.size(),
+              std::exchange(listed_and_ignored_, 0), *listing_end_, mirror_.position().value_or(0));
     mirror_.apply_listing(std::exchange(listed_records_, {}), *listing_end_);
     listing_end_.reset();
     listed_pages_.clear();
--- a/Source/log_follower.h
+++ b/Source/log_follower.h
@@ -24,7 +24,9 @@
     log_call_status end = log_call_status::failed; // status of the call
     std::string error;                             // error text of a failed call
     std::vector<mirrored_record> records;
-    std::uint64_t log_end = 0;                  // offset after the log's last record
+    std::uint64_t log_end = 0; // offset after the log's last record
+    // Number of times that the log was restored from an older copy; empty if the log does not tell.
+    std::optional<std::uint64_t> era;
     std::optional<std::string> next_page_after; // key after which the next list page starts
 };
 
@@ -87,6 +89,8 @@
     std::optional<std::uint64_t> listing_end_; // end of the log as of the first list page
     std::optional<std::string> next_page_after_;
     std::set<std::string> listed_pages_; // keys after which pages of the current listing start
+    std::size_t listed_and_ignored_ =
+        0; // records of the listing that are not newer than known ones
     bool read_pending_ = false;
     bool answered_ = false;
     kernel::timer timer_;
