--- a/Tests/Relay/log_follower_test.cpp
+++ b/Tests/Relay/log_follower_test.cpp
@@ -147,3 +147,21 @@
     EXPECT_EQ(failures, 1U);
     EXPECT_EQ(listed_after, "a");
 }
+
+// Guards against a log that is followed at offsets which it had before it was restored from an
+// older copy: what is written there again was ignored, and the log was listed over and over.
+TEST_F(log_follower_listing, starts_over_when_the_log_was_restored_from_an_older_copy)
+{
+    reply({.end = log_call_status::answered, .records = {record("a", 3)}, .log_end = 4, .era = 1});
+    EXPECT_EQ(read_from, 4U);
+    reply({.end = log_call_status::truncated, .era = 2});
+    reply({.end = log_call_status::answered, .records = {record("a", 1)}, .log_end = 2, .era = 2});
+    ASSERT_TRUE(pending_call);
+    EXPECT_EQ(read_from, 2U);
+    reply({.end = log_call_status::answered,
+           .records = {{.key = "a", .value = "changed", .offset = 2}},
+           .log_end = 3,
+           .era = 2});
+    ASSERT_EQ(mirror.listing().size(), 1U);
+    EXPECT_EQ(mirror.listing()[0].value, "changed");
+}
