Order the records of a log across its restores from older copies

Cause: offsets of two lives of the log were compared. A record written after the restore at an offset that had been in use was taken for an old one, the position never went down, so that the log was listed over and over (742 listings in 4 s), and peers compared positions the same way.

The mirror of a log now knows the log's era (Store-Era). A restore begins an era: the log is listed again, and what the copy lacks stays in force, as lost records, until it is written again. Records of two eras are compared by the versions that they contain (configuration, start and sequence of a server) and else by where they were written, for which entries share where each era began. Entries tell each other lost records, so that one that starts later, or was frozen or cut off, has them too.

--- a/Source/backend_table.cpp
+++ b/Source/backend_table.cpp
@@ -80,7 +80,7 @@
 {
     if (source_down_) {
         source_down_ = false;
-        grace_until_ = now + options_.return_grace;
+        start_grace(now);
     }
 }
 
--- a/Source/backend_table.h
+++ b/Source/backend_table.h
@@ -87,6 +87,8 @@
     void source_lost() { source_down_ = true; }
     /// Records that the source responds; starts the grace period in which expired entries stay.
     void source_regained(millis now);
+    /// Starts the grace period in which expired entries stay.
+    void start_grace(millis now) { grace_until_ = now + options_.return_grace; }
     /// Removes servers that are still missing after the grace period.
     void sweep(millis now);
 
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -74,6 +74,7 @@
     peer_heard = 1814,
     peer_silent = 1815,
     records_from_peer = 1816,
+    log_restored = 1817,
 };
 
 /// Number, severity and name of an event.
@@ -83,7 +84,7 @@
     std::string_view name;
 };
 
-inline constexpr std::size_t event_count = 53;
+inline constexpr std::size_t event_count = 54;
 
 /// Catalogue of all events, sorted by number.
 const std::array<event_description, event_count>& event_catalogue();
--- a/Source/log_follower.cpp
+++ b/Source/log_follower.cpp
@@ -29,6 +29,26 @@
                 [this](keyed_log_page page) { handle_list_page(std::move(page)); });
 }
 
+void log_follower::restart_listing()
+{
+    listed_records_.clear();
+    listing_end_.reset();
+    listed_pages_.clear();
+    next_page_after_.reset();
+    listed_and_ignored_ = 0;
+}
+
+// Takes the mirror to the era of a page; returns false if the page is of an earlier one.
+bool log_follower::follow_era(const keyed_log_page& page)
+{
+    const std::uint64_t era = page.era.value_or(mirror_.era());
+    mirror_.enter_era(era);
+    if (era == mirror_.era() && page.end == log_call_status::answered) {
+        mirror_.note_end(page.log_end);
+    }
+    return era == mirror_.era();
+}
+
 void log_follower::handle_list_page(keyed_log_page page)
 {
     if (page.end != log_call_status::answered) {
@@ -36,6 +56,22 @@
         schedule(options_.retry_delay, &log_follower::request_next_page);
         return;
     }
+    if (!follow_era(page)) {
+        restart_listing();
+        fail("earlier_era");
+        schedule(options_.retry_delay, &log_follower::request_next_page);
+        return;
+    }
+    if (listing_end_ && listing_era_ != mirror_.era()) {
+        // The earlier pages are of another era.
+        restart_listing();
+        request_next_page();
+        return;
+    }
+    listing_era_ = mirror_.era();
+    for (mirrored_record& record : page.records) {
+        record.era = mirror_.era();
+    }
     if (page.next_page_after && !listed_pages_.insert(*page.next_page_after).second) {
         fail("list_does_not_advance");
         schedule(options_.retry_delay, &log_follower::request_next_page);
@@ -62,11 +98,11 @@
         return;
     }
     log_event(event_id::records_resynchronised, "log={} era={} keys={} ignored={} end={} before={}",
-              options_.name, page.era.value_or(0), listed_records_.size(),
-              std::exchange(listed_and_ignored_, 0), *listing_end_, mirror_.position().value_or(0));
+              options_.name, mirror_.era(), listed_records_.size(), listed_and_ignored_,
+              *listing_end_, mirror_.position().value_or(0));
     mirror_.apply_listing(std::exchange(listed_records_, {}), *listing_end_);
-    listing_end_.reset();
-    listed_pages_.clear();
+    restart_listing();
+    ++vain_listings_;
     hooks_.on_records_applied();
     read_next();
 }
@@ -82,6 +118,11 @@
 
 void log_follower::read_now()
 {
+    if (!mirror_.position()) { // a peer has told of a later era
+        request_next_page();
+        return;
+    }
+    read_era_ = mirror_.era();
     read_pending_ = options_.wait > 0ms;
     hooks_.read(mirror_.position().value_or(0), options_.wait,
                 [this](keyed_log_page page) { handle_read_page(std::move(page)); });
@@ -90,18 +131,33 @@
 void log_follower::handle_read_page(keyed_log_page page)
 {
     read_pending_ = false;
-    if (page.end == log_call_status::truncated) {
-        request_next_page();
-        return;
-    }
     if (page.end == log_call_status::failed) {
         fail(page.error);
         schedule(options_.retry_delay, &log_follower::read_next);
         return;
     }
+    if (read_era_ != mirror_.era()) { // a peer has told of a later era meanwhile
+        read_next();
+        return;
+    }
+    if (!follow_era(page)) {
+        fail("earlier_era");
+        schedule(options_.retry_delay, &log_follower::read_next);
+        return;
+    }
+    if (page.end == log_call_status::truncated && vain_listings_ > 1) {
+        schedule(options_.read_interval, &log_follower::request_next_page);
+        return;
+    }
+    if (page.end == log_call_status::truncated || !mirror_.position()) {
+        request_next_page();
+        return;
+    }
     answered_ = true;
+    vain_listings_ = 0;
     hooks_.on_page_received();
     for (mirrored_record& record : page.records) {
+        record.era = mirror_.era();
         mirror_.advance(record.offset + 1);
         mirror_.apply(std::move(record));
     }
--- a/Source/log_follower.h
+++ b/Source/log_follower.h
@@ -41,7 +41,8 @@
 };
 
 /// Keeps a mirror up to date with one log: lists the newest record of each key, then reads
-/// new records from that offset on.  Lists again if the log no longer retains the next record.
+/// new records from that offset on.  Lists again if the log no longer retains the next record, or
+/// was restored from an older copy.
 class log_follower {
 public:
     struct hooks {
@@ -78,6 +79,8 @@
     void read_now();
     void handle_list_page(keyed_log_page page);
     void handle_read_page(keyed_log_page page);
+    void restart_listing();
+    bool follow_era(const keyed_log_page& page);
     void fail(const std::string& error);
     void schedule(millis delay, void (log_follower::*step)());
 
@@ -87,10 +90,13 @@
     hooks hooks_;
     std::vector<mirrored_record> listed_records_;
     std::optional<std::uint64_t> listing_end_; // end of the log as of the first list page
+    std::uint64_t listing_era_ = 0;            // era of the log as of that page
+    unsigned vain_listings_ = 0;               // listings after which no read succeeded
     std::optional<std::string> next_page_after_;
     std::set<std::string> listed_pages_; // keys after which pages of the current listing start
     std::size_t listed_and_ignored_ =
-        0; // records of the listing that are not newer than known ones
+        0;                       // records of the listing that are not newer than known ones
+    std::uint64_t read_era_ = 0; // era of the mirror when the last read was sent
     bool read_pending_ = false;
     bool answered_ = false;
     kernel::timer timer_;
--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -30,8 +30,29 @@
 constexpr std::size_t max_limit_reports = 256; // limited servers per digest; others are left out
 constexpr double limit_scale = 1000;           // limits are sent in thousandths
 constexpr millis send_check_interval = 50ms;
+// Interval between two requests for the records of a log that a restore has lost.
+constexpr millis lost_request_interval = 500ms;
+constexpr std::size_t max_lost_fingerprints = 64;
 constexpr millis sweep_interval = 500ms;
 
+using wire_restores = google::protobuf::RepeatedPtrField<wire::log_restore>;
+
+void add_restores(const record_mirror& mirror, wire_restores& to)
+{
+    for (const auto& [era, begin] : mirror.restores().begins()) {
+        wire::log_restore& row = *to.Add();
+        row.set_era(era);
+        row.set_begin(begin);
+    }
+}
+
+void take_restores(record_mirror& mirror, const wire_restores& from)
+{
+    for (const wire::log_restore& row : from) {
+        mirror.add_restore({.era = row.era(), .offset = row.begin()});
+    }
+}
+
 message_socket_options socket_options()
 {
     return {.high_water_mark = max_queued_digests, .retransmit_timeout_ms = retransmit_timeout_ms};
@@ -48,6 +69,8 @@
 {
     state_ = &core_.find<relay_state>("knowledge");
     behind_since_.resize(mirrors_.size());
+    lost_requested_at_.resize(mirrors_.size(), core_.now() - lost_request_interval);
+    lost_received_.resize(mirrors_.size());
     listen_socket_ =
         message_socket::bind(core_.loop(), core_.metrics(), options_.listen.endpoint(),
                              [this](const std::string& route, const wire::envelope& message) {
@@ -117,7 +140,7 @@
     const millis now = core_.now();
     const std::string own = options_.listen.text();
     const auto others = std::count_if(peers_.begin(), peers_.end(), [&](const auto& row) {
-        return row.first < own && row.second.source_available &&
+        return row.first < own && row.second.source_available && !row.second.earlier_era &&
                now - row.second.last_seen < options_.peer_timeout;
     });
     return others < static_cast<std::ptrdiff_t>(options_.log_readers);
@@ -156,6 +179,10 @@
     body.set_sequence(++sequence_);
     for (const record_mirror* mirror : mirrors_) {
         body.add_positions(mirror->position().value_or(0));
+        wire::log_state& state = *body.add_logs();
+        state.set_era(mirror->era());
+        state.set_lost(mirror->lost_fingerprint());
+        add_restores(*mirror, *state.mutable_restores());
     }
     body.set_source_answers(source_answers && source_answers());
     body.set_source_age_ms(static_cast<std::uint32_t>(
@@ -335,25 +362,38 @@
 void peer_gossip::request_missing_records(const std::string& address,
                                           const wire::relay_digest& digest)
 {
+    peer& from = peers_.at(address);
+    std::vector<peer_log> logs(mirrors_.size());
     bool up_to_date = static_cast<std::size_t>(digest.positions_size()) == mirrors_.size();
-    for (std::size_t log = 0; up_to_date && log < mirrors_.size(); ++log) {
-        up_to_date =
-            mirrors_[log]->position().value_or(0) >= digest.positions(static_cast<int>(log));
+    from.earlier_era = false;
+    for (std::size_t log = 0; log < mirrors_.size(); ++log) {
+        const int index = static_cast<int>(log);
+        if (index < digest.positions_size()) {
+            logs[log].position = digest.positions(index);
+        }
+        if (index < digest.logs_size()) {
+            logs[log].era = digest.logs(index).era();
+            logs[log].lost = digest.logs(index).lost();
+            take_restores(*mirrors_[log], digest.logs(index).restores());
+        }
+        up_to_date = up_to_date && mirrors_[log]->era() == logs[log].era &&
+                     mirrors_[log]->position().value_or(0) >= logs[log].position;
+        from.earlier_era = from.earlier_era || logs[log].era < mirrors_[log]->era();
     }
     if (up_to_date && digest.source_answers()) {
         state_->confirmed_by_peer(millis(digest.source_age_ms()));
     }
     const millis now = core_.now();
     for (std::size_t log = 0; log < mirrors_.size(); ++log) {
-        if (static_cast<int>(log) >= digest.positions_size()) {
-            return;
-        }
-        const std::uint64_t own = mirrors_[log]->position().value_or(0);
-        if (digest.positions(static_cast<int>(log)) <= own) {
+        const record_mirror& mirror = *mirrors_[log];
+        const std::uint64_t own = mirror.position().value_or(0);
+        const bool later_era = logs[log].era > mirror.era();
+        if (!later_era && (logs[log].era < mirror.era() || logs[log].position <= own)) {
+            request_lost_records(from, log, logs[log]);
             continue;
         }
         std::optional<millis>& since = behind_since_[log];
-        const bool listed = mirrors_[log]->position().has_value();
+        const bool listed = mirror.position().has_value();
         if (!listed && source_answers && source_answers()) {
             continue;
         }
@@ -364,13 +404,48 @@
             continue;
         }
         since = now;
-        wire::envelope message;
-        message.mutable_record_request()->set_log(static_cast<std::uint32_t>(log));
-        message.mutable_record_request()->set_from(own);
-        peers_.at(address).socket->send({}, std::move(message));
+        request_records(from, log, mirror.era(), own);
     }
 }
 
+// Requests records that this entry's log has lost by a restore and that the peer may know: those
+// that it keeps, or those of an earlier era if it has seen more of that.
+void peer_gossip::request_lost_records(peer& from, std::size_t log, const peer_log& theirs)
+{
+    const record_mirror& mirror = *mirrors_[log];
+    const millis now = core_.now();
+    if (!mirror.accepts_lost() || !mirror.position() ||
+        now - lost_requested_at_[log] < lost_request_interval) {
+        return;
+    }
+    if (theirs.era == mirror.era()) {
+        if (theirs.lost == 0 || theirs.lost == mirror.lost_fingerprint() ||
+            lost_received_[log].contains(theirs.lost)) {
+            return;
+        }
+        lost_requested_at_[log] = now;
+        request_records(from, log, theirs.era, theirs.position);
+        return;
+    }
+    const std::uint64_t begin = mirror.restores().reused_from(theirs.era).value_or(0);
+    const std::uint64_t known = std::max(begin, mirror.end_of_era(theirs.era));
+    if (theirs.position > known) {
+        lost_requested_at_[log] = now;
+        request_records(from, log, mirror.era(), known);
+    }
+}
+
+void peer_gossip::request_records(peer& from, std::size_t log, std::uint64_t era,
+                                  std::uint64_t offset)
+{
+    wire::envelope message;
+    wire::record_request& request = *message.mutable_record_request();
+    request.set_log(static_cast<std::uint32_t>(log));
+    request.set_era(era);
+    request.set_from(offset);
+    from.socket->send({}, std::move(message));
+}
+
 void peer_gossip::handle_record_request(const std::string& route,
                                         const wire::record_request& request)
 {
@@ -385,13 +460,20 @@
     wire::record_batch& batch = *message.mutable_record_batch();
     batch.set_log(request.log());
     batch.set_end(*mirror.position());
-    const bool listing = request.from() < mirror.tombstones_complete_from();
+    batch.set_era(mirror.era());
+    batch.set_lost(mirror.lost_fingerprint());
+    add_restores(mirror, *batch.mutable_restores());
+    // A requester in a later era wants only what its log has lost.
+    const bool listing =
+        request.era() < mirror.era() ||
+        (request.era() == mirror.era() && request.from() < mirror.tombstones_complete_from());
     batch.set_listing(listing);
     for (const mirrored_record& record :
          listing ? mirror.listing() : mirror.records_since(request.from())) {
         wire::keyed_record& row = *batch.add_records();
         row.set_key(record.key);
         row.set_offset(record.offset);
+        row.set_era(record.era);
         if (record.value) {
             row.set_value(*record.value);
         }
@@ -405,24 +487,43 @@
         return;
     }
     record_mirror& mirror = *mirrors_[batch.log()];
-    log_event(event_id::records_from_peer, "log={} records={} end={} before={}", batch.log(),
-              batch.records_size(), batch.end(), mirror.position().value_or(0));
+    log_event(event_id::records_from_peer,
+              "log={} era={} records={} end={} before={} era_before={}", batch.log(), batch.era(),
+              batch.records_size(), batch.end(), mirror.position().value_or(0), mirror.era());
+    if (batch.era() > mirror.era() && !batch.listing()) {
+        return; // it does not say what else the log of that era holds
+    }
+    mirror.enter_era(batch.era());
+    if (batch.era() == mirror.era()) {
+        mirror.note_end(batch.end());
+    }
+    take_restores(mirror, batch.restores());
     std::vector<mirrored_record> records;
     for (const wire::keyed_record& row : batch.records()) {
         records.push_back(
             {.key = row.key(),
              .value = row.has_value() ? std::optional<std::string>(row.value()) : std::nullopt,
-             .offset = row.offset()});
+             .offset = row.offset(),
+             .era = row.era()});
     }
-    if (batch.listing()) {
+    std::set<std::uint64_t>& received = lost_received_[batch.log()];
+    if (received.size() >= max_lost_fingerprints) {
+        received.clear();
+    }
+    received.insert(batch.lost());
+    const bool same_era = batch.era() == mirror.era();
+    if (same_era && batch.listing()) {
         mirror.apply_listing(std::move(records), batch.end());
     }
     else {
         for (mirrored_record& record : records) {
             mirror.apply(std::move(record));
         }
-        mirror.advance(batch.end());
     }
+    if (!same_era) {
+        return; // the peer has not noticed the restore yet
+    }
+    mirror.advance(batch.end());
     behind_since_[batch.log()].reset();
     const bool all =
         std::all_of(mirrors_.begin(), mirrors_.end(), [](const record_mirror* each_mirror) {
--- a/Source/peer_gossip.h
+++ b/Source/peer_gossip.h
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -83,6 +84,7 @@
         std::uint64_t sequence = 0;    // of the latest digest received from the peer
         millis last_seen{0};
         bool source_available = false; // whether the log service answers the peer's own reads
+        bool earlier_era = false;      // a log of the peer is of an earlier era than here
         std::uint64_t hash = 0;        // of the address
         millis last_digest_sent{0};    // time of the last digest to this peer
         std::size_t digests_sent = 0;
@@ -96,7 +98,14 @@
     void on_message(const std::string& route, const wire::envelope& message);
     void handle_digest(const wire::relay_digest& digest);
     void apply_counts(const std::string& address, const wire::relay_digest& digest);
+    struct peer_log {
+        std::uint64_t era = 0;
+        std::uint64_t position = 0;
+        std::uint64_t lost = 0; // fingerprint of its lost records
+    };
     void request_missing_records(const std::string& address, const wire::relay_digest& digest);
+    void request_lost_records(peer& from, std::size_t log, const peer_log& theirs);
+    void request_records(peer& from, std::size_t log, std::uint64_t era, std::uint64_t offset);
     void handle_record_request(const std::string& route, const wire::record_request& request);
     void apply_record_batch(const wire::record_batch& batch);
     void sweep();
@@ -113,6 +122,10 @@
     // For each mirror, the time at which it began to lag behind a peer, or at which records were
     // last requested after that.  Unset for a mirror that does not lag.
     std::vector<std::optional<millis>> behind_since_;
+    // For each mirror, when lost records were last requested, and the fingerprints of those that
+    // have come.
+    std::vector<millis> lost_requested_at_;
+    std::vector<std::set<std::uint64_t>> lost_received_;
     std::uint64_t sequence_ = 0;
     kernel::timer send_timer_;
     kernel::timer sweep_timer_;
--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -30,7 +30,7 @@
 
 void relay_state::apply_configuration(relay_configuration configuration)
 {
-    if (routes_ != nullptr && configuration.version <= routes_->version()) {
+    if (routes_ != nullptr && configuration.version < routes_->version()) {
         return;
     }
     const std::uint64_t before = routes_ == nullptr ? 0 : routes_->version();
--- a/Source/relay_state.h
+++ b/Source/relay_state.h
@@ -40,7 +40,7 @@
     void start() override;
     nlohmann::json describe() const override;
 
-    /// Puts a configuration in force, unless its version is not newer than the current one.
+    /// Puts a configuration in force, unless its version is older than the current one.
     void apply_configuration(relay_configuration configuration);
     void update_backend(const backend_entry& entry);
     void remove_backend(const std::string& id);
@@ -50,6 +50,9 @@
     void mark_complete();
     /// Records that this entry's own source answered and the state is current.
     void confirmed_by_source();
+    /// Records that the source was restored from an older copy: entries of backend servers that
+    /// live may expire before these write again.
+    void source_restored() { backends_.start_grace(core_.now()); }
     /// Records that a peer's source confirmed this state `ago` before now.  Call only if the peer
     /// has no newer state.
     void confirmed_by_peer(millis ago);
--- a/Tests/Decisions/relay_decisions_test.cpp
+++ b/Tests/Decisions/relay_decisions_test.cpp
@@ -115,9 +115,9 @@
 TEST(record_mirror, takes_records_in_any_order_and_never_goes_back)
 {
     std::vector<std::string> changes;
-    record_mirror mirror([&](const mirrored_record& record) {
+    record_mirror mirror({.on_change = [&](const mirrored_record& record) {
         changes.push_back(record.key + "=" + record.value.value_or("-"));
-    });
+    }});
     EXPECT_TRUE(mirror.apply({.key = "a", .value = "2", .offset = 5}));
     EXPECT_FALSE(mirror.apply({.key = "a", .value = "1", .offset = 3}));
     EXPECT_TRUE(mirror.apply({.key = "a", .offset = 6}));
@@ -128,7 +128,7 @@
 // platform_compact: compaction of the log also removes the tombstone of a deleted key.
 TEST(record_mirror, a_listing_drops_keys_that_it_lacks_but_not_newer_ones)
 {
-    record_mirror mirror([](const mirrored_record& /*record*/) {});
+    record_mirror mirror({.on_change = [](const mirrored_record& /*record*/) {}});
     mirror.apply({.key = "old", .value = "1", .offset = 1});
     mirror.apply({.key = "new", .value = "1", .offset = 9});
     mirror.apply_listing({{.key = "kept", .value = "1", .offset = 2}}, 5);
@@ -148,11 +148,11 @@
 // (this failed the DRAIN check: pcf-cutline-grown trouble-2 --seed 271864689206).
 TEST(record_mirror, tells_who_needs_a_listing_to_hear_of_a_drop)
 {
-    record_mirror old([](const mirrored_record& /*record*/) {});
+    record_mirror old({.on_change = [](const mirrored_record& /*record*/) {}});
     old.apply({.key = "gone", .value = "1", .offset = 1});
     old.apply({.key = "kept", .value = "1", .offset = 2});
     old.advance(3);
-    record_mirror fresh([](const mirrored_record& /*record*/) {});
+    record_mirror fresh({.on_change = [](const mirrored_record& /*record*/) {}});
     // The record at offset 3, before the end of the listing, deleted "gone".
     fresh.apply_listing({{.key = "kept", .value = "1", .offset = 2}}, 4);
     fresh.apply({.key = "new", .value = "1", .offset = 4});
--- a/Tests/Relay/log_follower_test.cpp
+++ b/Tests/Relay/log_follower_test.cpp
@@ -14,7 +14,7 @@
 class log_follower_listing : public testing::Test {
 protected:
     log_follower_listing()
-        : mirror([](const mirrored_record& /*record*/) {}),
+        : mirror({.on_change = [](const mirrored_record& /*record*/) {}}),
           follower(core, {.name = "servers"}, mirror,
                    {.list =
                         [this](const std::optional<std::string>& after,
@@ -165,3 +165,74 @@
     ASSERT_EQ(mirror.listing().size(), 1U);
     EXPECT_EQ(mirror.listing()[0].value, "changed");
 }
+
+// Guards against a listing that joins pages from before and after a restore.
+TEST_F(log_follower_listing, starts_over_when_the_log_is_restored_between_two_pages)
+{
+    reply({.end = log_call_status::answered,
+           .records = {record("a", 3)},
+           .log_end = 8,
+           .era = 1,
+           .next_page_after = "a"});
+    EXPECT_EQ(listed_after, "a");
+    reply({.end = log_call_status::answered, .records = {record("c", 1)}, .log_end = 2, .era = 2});
+    EXPECT_EQ(listed_after, "") << "the first page must be requested again";
+    EXPECT_FALSE(mirror.position());
+    reply({.end = log_call_status::answered,
+           .records = {record("a", 0), record("c", 1)},
+           .log_end = 2,
+           .era = 2});
+    EXPECT_EQ(read_from, 2U);
+    EXPECT_EQ(mirror.era(), 2U);
+}
+
+// Guards against records that a read finds beyond the ones which the restored log has in place of
+// those that the mirror knows: the log was longer again before anybody looked.
+TEST_F(log_follower_listing, lists_a_restored_log_that_has_grown_again)
+{
+    reply({.end = log_call_status::answered,
+           .records = {record("a", 1), record("b", 3)},
+           .log_end = 4,
+           .era = 1});
+    reply({.end = log_call_status::answered, .records = {record("d", 4)}, .log_end = 5, .era = 2});
+    EXPECT_EQ(mirror.find("d"), nullptr) << "offsets 2 and 3 may have other records by now";
+    reply({.end = log_call_status::answered,
+           .records = {record("a", 1), record("c", 2), record("d", 4)},
+           .log_end = 5,
+           .era = 2});
+    EXPECT_EQ(read_from, 5U);
+    EXPECT_NE(mirror.find("c"), nullptr);
+}
+
+// A response that was on its way while a peer told of the restore.
+TEST_F(log_follower_listing, ignores_what_it_hears_from_an_earlier_era)
+{
+    reply({.end = log_call_status::answered, .records = {record("a", 3)}, .log_end = 4, .era = 1});
+    mirror.enter_era(2);
+    mirror.apply_listing({}, 2);
+    reply({.end = log_call_status::answered, .records = {record("b", 4)}, .log_end = 5, .era = 1});
+    EXPECT_EQ(mirror.find("b"), nullptr);
+    EXPECT_EQ(mirror.position(), 2U);
+    ASSERT_TRUE(wait_for_call());
+    EXPECT_EQ(read_from, 2U);
+    reply({.end = log_call_status::answered, .records = {record("b", 4)}, .log_end = 5, .era = 1});
+    EXPECT_EQ(mirror.find("b"), nullptr);
+    EXPECT_EQ(failures, 1U);
+}
+
+// Guards against a tight loop of listings, as after a restore that was not recognized.
+TEST_F(log_follower_listing, waits_before_it_lists_again_in_vain)
+{
+    const auto list = [&] {
+        reply({.end = log_call_status::answered, .records = {record("a", 3)}, .log_end = 4});
+    };
+    list();
+    reply({.end = log_call_status::truncated});
+    list();
+    reply({.end = log_call_status::truncated});
+    EXPECT_FALSE(pending_call);
+    ASSERT_TRUE(wait_for_call());
+    list();
+    reply({.end = log_call_status::answered, .records = {record("b", 4)}, .log_end = 5});
+    EXPECT_NE(mirror.find("b"), nullptr);
+}
--- a/Tests/Relay/peer_gossip_test.cpp
+++ b/Tests/Relay/peer_gossip_test.cpp
@@ -44,6 +44,7 @@
                               .service = "shop",
                               .address = {.host = "127.0.0.1", .port = 1},
                               .started_at = 1});
+        gossip.set_mirrors({&orders});
         gossip.start();
     }
 
@@ -71,6 +72,7 @@
     bool quarantines() const { return state.quarantined(harmful).has_value(); }
 
     kernel core{{.program = "test", .instance = "entry"}};
+    record_mirror orders{{.on_change = [](const mirrored_record& /*record*/) {}}};
     relay_state& state;
     peer_gossip& gossip;
     kernel::timer wake = core.every(5ms, [] {});
@@ -194,3 +196,47 @@
     });
     EXPECT_EQ(wrong, 0U);
 }
+
+// Guards against peers that compare offsets of a log from before and after a restore: the one that
+// noticed it could not tell the other, and one that started later knew only the older copy.
+TEST_F(two_entries, tell_each_other_what_a_restore_has_lost)
+{
+    start(0);
+    entries[0]->orders.enter_era(1);
+    entries[0]->orders.apply_listing({{.key = "a", .value = "old", .offset = 0, .era = 1}}, 1);
+    entries[0]->orders.apply({.key = "b", .value = "lost", .offset = 1, .era = 1});
+    entries[0]->orders.advance(2);
+    start(1);
+    entries[1]->orders.enter_era(2);
+    entries[1]->orders.apply_listing({{.key = "a", .value = "old", .offset = 0, .era = 2}}, 1);
+    entries[1]->orders.add_restore({.era = 2, .offset = 1});
+    // Each knows what the other did not.
+    ASSERT_TRUE(run_until([&] { return entries[1]->orders.find("b") != nullptr; }));
+    ASSERT_TRUE(run_until([&] { return entries[0]->orders.era() == 2; }));
+    EXPECT_EQ(entries[0]->orders.position(), 1U);
+    EXPECT_EQ(entries[0]->orders.find("b")->value, "lost");
+    // A change at an offset that was in use before the restore.
+    entries[1]->orders.apply({.key = "b", .value = "new", .offset = 1, .era = 2});
+    entries[1]->orders.advance(2);
+    EXPECT_TRUE(run_until([&] { return entries[0]->orders.find("b")->value == "new"; }));
+    EXPECT_EQ(entries[0]->orders.lost(), 0U);
+}
+
+// An entry that starts after the restore hears of lost records from a peer at the same position.
+TEST_F(two_entries, tell_an_entry_that_starts_after_a_restore_what_was_lost)
+{
+    start(0);
+    entries[0]->orders.enter_era(1);
+    entries[0]->orders.apply_listing({}, 0);
+    entries[0]->orders.apply({.key = "b", .value = "lost", .offset = 0, .era = 1});
+    for (const std::size_t at : {0U, 1U}) {
+        if (at == 1) {
+            start(1);
+        }
+        entries.at(at)->orders.enter_era(2);
+        entries.at(at)->orders.note_end(0);
+        entries.at(at)->orders.apply_listing({}, 0);
+    }
+    ASSERT_TRUE(run_until([&] { return entries[1]->orders.lost() == 1; }));
+    EXPECT_EQ(entries[1]->orders.lost_fingerprint(), entries[0]->orders.lost_fingerprint());
+}
--- a/Tests/Relay/platform_feed_test.cpp
+++ b/Tests/Relay/platform_feed_test.cpp
@@ -4,6 +4,7 @@
 #include "relay_harness.h"
 
 #include <event2/event.h>
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 using namespace cyclamen;
@@ -51,3 +52,120 @@
     ASSERT_TRUE(wait_for(core, store, [&] { return !feed.last_reads_answered(); }));
     EXPECT_LE(core.now() - cut_at, configuration_deadline - takeover_time);
 }
+
+namespace {
+
+class restored_store : public testing::Test {
+protected:
+    restored_store()
+    {
+        state.peer_source_available = [] { return true; };
+        state.start();
+        feed.start();
+        for (record_mirror* mirror : {&feed.orders(), &feed.backends()}) {
+            mirror->enter_era(1);
+        }
+    }
+
+    static mirrored_record order(std::uint64_t era, std::uint64_t offset, const std::string& key,
+                                 std::optional<std::string> value)
+    {
+        return {.key = key, .value = std::move(value), .offset = offset, .era = era};
+    }
+
+    static std::string configuration(unsigned version)
+    {
+        return fmt::format(R"({{"Version":{},"Routes":[],"Services":[]}})", version);
+    }
+
+    static mirrored_record server(std::uint64_t era, std::uint64_t offset, const std::string& id,
+                                  const std::string& status, unsigned sequence)
+    {
+        return order(era, offset, id,
+                     fmt::format(R"({{"Service":"shop","Address":"10.0.0.1:80","Zone":"a",)"
+                                 R"("Version":"v1","Capacity":4,"State":"{}",)"
+                                 R"("ColdRemainingMs":0,"Sequence":{},"born":5}})",
+                                 status, sequence));
+    }
+
+    bool has(const std::string& id) { return state.backends().find(id) != nullptr; }
+
+    kernel core{{.program = "test", .instance = "test"}};
+    scripted_backend store;
+    relay_state& state = core.add(std::make_unique<relay_state>(core, relay_state_options{}));
+    platform::platform_feed& feed = core.add(std::make_unique<platform::platform_feed>(
+        core, platform::platform_feed_options{.store = {.host = "127.0.0.1", .port = store.port()},
+                                              .backends_write_again = 200ms,
+                                              .backends_expire = 400ms,
+                                              .orders_written_again = 300ms}));
+};
+
+} // namespace
+
+TEST_F(restored_store, tells_its_era_in_its_answers)
+{
+    ASSERT_TRUE(wait_for(core, store, [&] { return store.requests() == 2; }));
+    for (const std::size_t listing : {0U, 1U}) {
+        store.respond(listing, response_of("", R"({"Entries":[],"HasMore":false,"EndOffset":0})",
+                                           200, "Store-Era: 4\r\n"));
+    }
+    EXPECT_TRUE(wait_for(core, store,
+                         [&] { return feed.orders().era() == 4 && feed.backends().era() == 4; }));
+}
+
+// Guards against a confirmed configuration and zones out of service that fall back to the copy's,
+// and against zones that stay out of service although no operator says so any more.
+TEST_F(restored_store, keeps_the_orders_that_its_copy_lacks)
+{
+    record_mirror& orders = feed.orders();
+    orders.apply_listing({order(1, 0, "config", configuration(4))}, 1);
+    orders.apply(order(1, 1, "config", configuration(8)));
+    orders.apply(order(1, 2, "evacuate/a", "{}"));
+    orders.advance(3);
+    unsigned raised = 0;
+    feed.restored.connect([&] { ++raised; });
+    orders.enter_era(2);
+    orders.note_end(1);
+    orders.apply_listing({order(2, 0, "config", configuration(4))}, 1);
+    EXPECT_EQ(raised, 1U);
+    EXPECT_EQ(state.routes()->version(), 8U);
+    EXPECT_TRUE(state.backends().disabled_zones().contains("a"));
+    orders.apply(order(2, 1, "config", configuration(11)));
+    EXPECT_EQ(state.routes()->version(), 11U);
+    EXPECT_TRUE(wait_for(core, store, [&] { return state.backends().disabled_zones().empty(); }));
+    EXPECT_EQ(state.routes()->version(), 11U);
+}
+
+// Guards against requests to servers that left or said that they leave after the copy was made, and
+// against refusals while servers that the copy lacks still serve.
+TEST_F(restored_store, keeps_what_servers_said_that_its_copy_lacks)
+{
+    record_mirror& servers = feed.backends();
+    servers.apply_listing({server(1, 0, "gone", "ready", 1), server(1, 1, "leaving", "ready", 1),
+                           server(1, 2, "back", "ready", 1)},
+                          3);
+    servers.apply(server(1, 3, "leaving", "draining", 2));
+    servers.apply(order(1, 4, "gone", std::nullopt));
+    servers.apply(server(1, 5, "new", "ready", 1));
+    servers.apply(server(1, 6, "other", "ready", 1));
+    servers.apply(order(1, 7, "back", std::nullopt));
+    servers.advance(8);
+    servers.enter_era(2);
+    servers.note_end(3);
+    servers.apply_listing({server(2, 0, "gone", "ready", 1), server(2, 1, "leaving", "ready", 1),
+                           server(2, 2, "back", "ready", 1)},
+                          3);
+    EXPECT_FALSE(has("gone"));
+    EXPECT_TRUE(state.backends().find("leaving")->entry.draining);
+    EXPECT_TRUE(has("new") && has("other"));
+    servers.apply(server(2, 3, "new", "ready", 2));
+    servers.apply(order(2, 4, "gone", std::nullopt));
+    servers.advance(5);
+    servers.apply(order(2, 5, "leaving", std::nullopt));
+    servers.advance(6);
+    EXPECT_TRUE(wait_for(core, store, [&] { return has("back"); }))
+        << "a record that the store still holds belongs to a server that lives";
+    EXPECT_TRUE(wait_for(core, store, [&] { return !has("other") && !has("leaving"); }));
+    EXPECT_TRUE(has("new"));
+    EXPECT_FALSE(has("gone"));
+}
