Store the quarantine again after a restore of the store

The entries that write now read again what the store has after a restore, and repair it. Two tests, one for the number of calls.

--- a/Source/quarantine_archive.cpp
+++ b/Source/quarantine_archive.cpp
@@ -30,11 +30,12 @@
     if (call_open_) {
         return;
     }
-    if (!read_done_) {
+    const bool should_write = !hooks_.should_write || hooks_.should_write();
+    if (!read_done_ && (restores_ == 0 || should_write)) {
         read();
         return;
     }
-    if (hooks_.should_write && !hooks_.should_write()) {
+    if (!should_write) {
         return;
     }
     const std::set<std::uint64_t>& quarantine = state_->crashes().quarantine(core_.now());
@@ -44,7 +45,9 @@
         }
         call_open_ = true;
         hooks_.store(state_->crashes().record(suspect, core_.now()),
-                     [this, suspect](bool done) { on_written(suspect, true, done); });
+                     [this, suspect, restores = restores_](bool done) {
+                         on_written(suspect, true, done && restores == restores_);
+                     });
         return;
     }
     for (const std::uint64_t suspect : stored_) {
@@ -52,7 +55,9 @@
             continue;
         }
         call_open_ = true;
-        hooks_.remove(suspect, [this, suspect](bool done) { on_written(suspect, false, done); });
+        hooks_.remove(suspect, [this, suspect, restores = restores_](bool done) {
+            on_written(suspect, false, done && restores == restores_);
+        });
         return;
     }
 }
@@ -74,12 +79,21 @@
     synchronise();
 }
 
+void quarantine_archive::store_restored()
+{
+    ++restores_;
+    read_done_ = false;
+    stored_.clear();
+    synchronise();
+}
+
 void quarantine_archive::read()
 {
     call_open_ = true;
-    hooks_.read([this](const std::optional<std::vector<wire::suspect_record>>& records) {
+    hooks_.read([this, restores = restores_](
+                    const std::optional<std::vector<wire::suspect_record>>& records) {
         call_open_ = false;
-        if (!records) {
+        if (!records || restores != restores_) {
             return; // the timer tries again
         }
         read_done_ = true;
--- a/Source/quarantine_archive.h
+++ b/Source/quarantine_archive.h
@@ -42,6 +42,10 @@
     void start() override;
     nlohmann::json describe() const override;
 
+    /// Reads again what the store holds, and then stores what it lacks: the store was restored from
+    /// an older copy.
+    void store_restored();
+
 private:
     void synchronise();
     void read();
@@ -52,6 +56,7 @@
     relay_state* state_ = nullptr;
     bool read_done_ = false;
     bool call_open_ = false;
+    unsigned restores_ = 0;          // restores of the store that were noticed
     std::set<std::uint64_t> stored_; // suspects that the store holds, as far as known here
     kernel::timer timer_;
 };
--- a/Tests/Relay/quarantine_archive_test.cpp
+++ b/Tests/Relay/quarantine_archive_test.cpp
@@ -54,8 +54,9 @@
 // An entry without network.
 struct archived_entry {
     explicit archived_entry(scripted_store& store)
+        : archive(core.add(std::make_unique<quarantine_archive>(core, store.hooks())))
     {
-        core.add(std::make_unique<quarantine_archive>(core, store.hooks())).start();
+        archive.start();
     }
 
     void crash_servers()
@@ -84,6 +85,7 @@
 
     kernel core{{.program = "test", .instance = "entry-1"}};
     relay_state& state = core.add(std::make_unique<relay_state>(core, relay_state_options{}));
+    quarantine_archive& archive;
 };
 
 } // namespace
@@ -131,3 +133,30 @@
     EXPECT_EQ(store.calls, 1U) << "the read at the start";
     EXPECT_TRUE(entry.quarantines());
 }
+
+// Guards against a quarantine that a restore of the store from an older copy has undone.
+TEST(quarantine_archive, stores_again_what_a_restore_has_lost)
+{
+    scripted_store store;
+    archived_entry entry(store);
+    entry.crash_servers();
+    ASSERT_EQ(store.kept.size(), 1U);
+    store.kept.clear();
+    wire::suspect_record cleared;
+    cleared.set_suspect(harmful + 1);
+    store.kept[harmful + 1] = cleared;
+    entry.archive.store_restored();
+    EXPECT_TRUE(store.kept.contains(harmful));
+    EXPECT_FALSE(store.kept.contains(harmful + 1)) << "no longer quarantined";
+}
+
+// Calls to the store are limited: one entry's repair serves all.
+TEST(quarantine_archive, reads_after_a_restore_only_where_it_writes)
+{
+    scripted_store store;
+    archived_entry entry(store);
+    store.writes_elsewhere = true;
+    const unsigned calls = store.calls;
+    entry.archive.store_restored();
+    EXPECT_EQ(store.calls, calls);
+}
