--- a/Source/restore_history.cpp
+++ b/Source/restore_history.cpp
@@ -23,12 +23,13 @@
 
 log_position restore_history::written_at(log_position seen) const
 {
-    for (auto begin = begins_.rbegin(); begin != begins_.rend(); ++begin) {
-        if (begin->first <= seen.era && begin->second <= seen.offset) {
-            return {.era = begin->first, .offset = seen.offset};
+    log_position written{.era = 0, .offset = seen.offset};
+    for (const auto& [era, offset] : begins_) {
+        if (era <= seen.era && offset <= seen.offset) {
+            written.era = era; // the latest such era, as they come in order
         }
     }
-    return {.era = 0, .offset = seen.offset};
+    return written;
 }
 
 std::optional<std::uint64_t> restore_history::reused_from(std::uint64_t era) const
--- a/Source/restore_history.h
+++ b/Source/restore_history.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace cyclamen {
 
@@ -13,7 +14,11 @@
     std::uint64_t era = 0;
     std::uint64_t offset = 0;
 
-    friend auto operator<=>(const log_position&, const log_position&) = default;
+    friend bool operator==(const log_position&, const log_position&) = default;
+    friend std::strong_ordering operator<=>(const log_position& left, const log_position& right)
+    {
+        return std::pair(left.era, left.offset) <=> std::pair(right.era, right.offset);
+    }
 };
 
 /// Where the eras of one log began, which gives the records of different eras a common order.
