--- a/Source/relay_configuration.h
+++ b/Source/relay_configuration.h
@@ -82,6 +82,7 @@
     millis cold_for{0};           // remaining time of its cold start
     std::uint64_t started_at = 0; // start time, identifies its incarnation
     std::uint64_t sequence = 0;   // sequence number of this entry within the incarnation
+    std::string software_version; // what it writes does not fit to what other versions write
 };
 
 } // namespace cyclamen
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -251,11 +251,14 @@
     const bool once = !attempts_->repeatable();
     connection_ = context_.connections.acquire(backend_id_, server.entry.address, once);
     log_event(event_id::backend_chosen,
-              "request={} route={} prompt={:x} backend={} zone={} reason={} rank={} kept={} "
+              "request={} route={} prompt={:x} backend={} software={} after_event={} zone={} "
+              "reason={} rank={} kept={} "
               "copies_from={} load={} "
               "mean={:.1f} pool={} "
               "cold={} try={} left_ms={} version={} source_age_ms={} listed_age_ms={}",
-              metadata_.id, route_->name, placement_segment(), backend_id_, server.entry.zone,
+              metadata_.id, route_->name, placement_segment(), backend_id_,
+              server.entry.software_version,
+              metadata.last_event_id.empty() ? "-" : metadata.last_event_id, server.entry.zone,
               choice.reason, choice.rank, choice.prefix_cached,
               choice.copy_source == nullptr ? "-" : choice.copy_source->entry.id, choice.load,
               choice.mean, choice.pool, server.cold(sent_at_), tried_backends_.size(),
--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -59,10 +59,10 @@
     }
     if (result != backend_table::put_result::stale && changed) {
         log_event(event_id::backend_listed,
-                  "backend={} service={} zone={} address={} draining={} cold_ms={} started_at={} "
-                  "sequence={}",
-                  entry.id, entry.service, entry.zone, entry.address.text(), entry.draining,
-                  entry.cold_for.count(), entry.started_at, entry.sequence);
+                  "backend={} service={} software={} zone={} address={} draining={} cold_ms={} "
+                  "started_at={} sequence={}",
+                  entry.id, entry.service, entry.software_version, entry.zone, entry.address.text(),
+                  entry.draining, entry.cold_for.count(), entry.started_at, entry.sequence);
     }
 }
 
@@ -236,6 +236,7 @@
     const millis now = core_.now();
     for (const auto& [id, server] : backends_.all()) {
         servers[id] = {{"service", server->entry.service},
+                       {"software", server->entry.software_version},
                        {"zone", server->entry.zone},
                        {"address", server->entry.address.text()},
                        {"draining", server->entry.draining},
