Failing tests: streams that continue at another software version

All three tests fail on this code: a broken stream of v1 is continued at a v2 server within the same answer, a caller that takes its stream up gets a v2 server, and it gets one, too, when no v1 server is left.

--- /dev/null
+++ b/Tests/Relay/stream_versions_test.cpp
@@ -0,0 +1,156 @@
+// Tests that an event stream continues only at the software version that began it.
+
+#include "relay_harness.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+using namespace cyclamen;
+
+namespace {
+
+class stream_versions : public testing::Test {
+protected:
+    stream_versions() { fleet.configure(relay_harness::configuration()); }
+
+    void add_server(const std::string& id, const std::string& version)
+    {
+        servers.push_back(&fleet.add_backend(id));
+        versions.push_back(version);
+        seen.push_back(0);
+        backend_entry entry = fleet.state().backends().find(id)->entry;
+        entry.software_version = version;
+        ++entry.sequence;
+        fleet.state().update_backend(entry);
+    }
+
+    scripted_caller& send(const std::string& id, const std::string& headers = "")
+    {
+        scripted_caller& caller = fleet.add_caller();
+        caller.send(fmt::format("POST /resume/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {}\r\n"
+                                "Authorization: Bearer k1\r\nContent-Length: 1\r\n{}\r\nx",
+                                id, headers));
+        return caller;
+    }
+
+    static std::string take_up_of(const std::string& id)
+    {
+        return fmt::format("Last-Event-Id: 1\r\nResumes: {}\r\n", id);
+    }
+
+    // Returns the index of the server that the next request arrives at; the number of servers if
+    // `caller` gets a response before.
+    std::size_t next_server(scripted_caller& caller)
+    {
+        std::size_t at = servers.size();
+        EXPECT_TRUE(fleet.wait_for([&] {
+            for (at = 0; at < servers.size() && servers[at]->requests() == seen[at];) {
+                ++at;
+            }
+            return at < servers.size() || caller.status() != 0;
+        }));
+        if (at < servers.size()) {
+            ++seen[at];
+        }
+        return at;
+    }
+
+    void answer(std::size_t at, const std::string& id, const std::string& events)
+    {
+        servers[at]->respond(servers[at]->requests() - 1,
+                             fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\n"
+                                         "Content-Type: text/event-stream\r\n\r\n{}",
+                                         id, events));
+    }
+
+    void break_off(std::size_t at) { servers[at]->reset(servers[at]->requests() - 1); }
+
+    // Begins a stream that its caller breaks off after the first event; returns its version.
+    std::string begin_and_break_off(const std::string& id)
+    {
+        scripted_caller& caller = send(id);
+        const std::size_t first = next_server(caller);
+        answer(first, id, "id: 1\ndata: a\n\n");
+        EXPECT_TRUE(
+            fleet.wait_for([&] { return caller.received().find("data: a") != std::string::npos; }));
+        caller.close();
+        EXPECT_TRUE(fleet.wait_for(
+            [&] { return servers[first]->closed_by_relay(servers[first]->requests() - 1); }));
+        return versions[first];
+    }
+
+    relay_harness fleet;
+    std::vector<scripted_backend*> servers;
+    std::vector<std::string> versions;
+    std::vector<std::size_t> seen; // requests that the test has handled, by server
+};
+
+} // namespace
+
+// Guards against answers with events of two software versions: a retry within the answer took any
+// server.
+TEST_F(stream_versions, a_broken_stream_goes_on_at_the_version_that_began_it)
+{
+    for (const char* id : {"s1", "s2", "s3", "s4"}) {
+        add_server(id, id < std::string("s3") ? "v1" : "v2");
+    }
+    for (const char* id : {"q1", "q2", "q3", "q4"}) {
+        scripted_caller& caller = send(id);
+        const std::size_t first = next_server(caller);
+        answer(first, id, "id: 1\ndata: a\n\n");
+        ASSERT_TRUE(
+            fleet.wait_for([&] { return caller.received().find("data: a") != std::string::npos; }));
+        break_off(first);
+        std::size_t next = servers.size();
+        ASSERT_TRUE(fleet.wait_for([&] {
+            for (next = 0; next < servers.size() && servers[next]->requests() == seen[next];) {
+                ++next;
+            }
+            return next < servers.size();
+        }));
+        ++seen[next];
+        EXPECT_EQ(versions[next], versions[first]) << id;
+        answer(next, id, "id: 2\ndata: b\n\n");
+        servers[next]->close(servers[next]->requests() - 1);
+        ASSERT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("0\r\n\r\n"); }));
+    }
+}
+
+// Guards against answers with events of two software versions: a caller that took its stream up
+// again got any server.
+TEST_F(stream_versions, a_stream_that_is_taken_up_goes_on_at_the_version_that_began_it)
+{
+    for (const char* id : {"s1", "s2", "s3", "s4"}) {
+        add_server(id, id == std::string("s1") || id == std::string("s3") ? "v1" : "v2");
+    }
+    ASSERT_EQ(begin_and_break_off("q1"), "v1");
+    backend_entry leaving = fleet.state().backends().find("s1")->entry;
+    leaving.draining = true;
+    ++leaving.sequence;
+    fleet.state().update_backend(leaving);
+    // The second take-up names the attempt that brought the first event, too.
+    for (const char* attempt : {"q2", "q3"}) {
+        scripted_caller& caller = send(attempt, take_up_of("q1"));
+        const std::size_t at = next_server(caller);
+        ASSERT_LT(at, servers.size());
+        EXPECT_EQ(versions[at], "v1");
+        answer(at, attempt, "id: 2\ndata: b\n\n");
+        servers[at]->close(servers[at]->requests() - 1);
+        ASSERT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("0\r\n\r\n"); }));
+    }
+}
+
+// Guards against events of another version, and against a caller that waits in vain: no server can
+// continue the stream.
+TEST_F(stream_versions, a_stream_is_refused_at_once_when_no_server_of_its_version_is_left)
+{
+    add_server("s1", "v1");
+    begin_and_break_off("q1");
+    add_server("s2", "v2");
+    fleet.state().remove_backend("s1");
+    const millis sent_at = fleet.core().now();
+    scripted_caller& caller = send("q2", take_up_of("q1"));
+    EXPECT_EQ(next_server(caller), servers.size());
+    EXPECT_EQ(caller.status(), 503);
+    EXPECT_LT(fleet.core().now() - sent_at, 100ms);
+}
