Continue a stream only at the software version that began it

Cause: the entry dropped the version that servers state, and a retry within an answer, as well as a caller that takes its stream up (Resumes), got any server of the service.

An exchange now keeps the version of the server that brought its first event, and the entry the version of each recent stream, by the id of the attempt that began it. The chooser skips servers of other versions; a stream of which no server is left, or the version cannot be known, is refused at once. While only one version has served within a minute, any stream is known to have begun at it.

--- a/Source/backend_chooser.cpp
+++ b/Source/backend_chooser.cpp
@@ -211,9 +211,16 @@
     backend* fallback = nullptr;
     unsigned fallback_rank = 0;
     unsigned rank = 0;
-    choice.reason = "all_tried";
+    choice.reason = criteria.software_version ? no_server_of_version : "all_tried";
     for (backend* server : order_candidates(pool, criteria, now)) {
         ++rank;
+        if (criteria.software_version &&
+            server->entry.software_version != *criteria.software_version) {
+            continue;
+        }
+        if (choice.reason == no_server_of_version) {
+            choice.reason = "all_tried";
+        }
         if (criteria.tried != nullptr && criteria.tried->contains(server->entry.id)) {
             continue;
         }
--- a/Source/backend_chooser.h
+++ b/Source/backend_chooser.h
@@ -58,6 +58,7 @@
     std::uint64_t request_hash = 0;               // orders servers under `random`
     const prefix_locations* locations = nullptr;  // servers that cache the segments; may be null
     const std::set<std::string>* tried = nullptr; // ids of servers to skip; may be null
+    std::optional<std::string> software_version;  // the only one that can run the request
 
     /// Hash of the longest shared prefix of the prompt, which determines the placement.
     std::optional<std::uint64_t> placement_prefix() const
@@ -66,6 +67,9 @@
     }
 };
 
+/// Reason for a choice without a server: none of the servers has the software version.
+inline constexpr std::string_view no_server_of_version = "no_server_of_version";
+
 /// The chosen server and the reasons for the choice.
 struct backend_choice {
     backend* server = nullptr; // null if no server qualifies; `reason` says why
--- a/Source/header_codec.h
+++ b/Source/header_codec.h
@@ -25,6 +25,7 @@
     std::string key;                    // API key of the client account; may be empty
     std::vector<prompt_segment> prompt; // in order; the last segment is unique to this request
     std::string last_event_id;          // event after which to resume a stream; may be empty
+    std::string resumed_id;             // attempt that began the stream to resume; may be empty
 };
 
 /// Data that the relay adds to the headers of a request to a backend server.
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -73,9 +73,42 @@
     }
     const millis remaining = deadline_ + context_.options.deadline_slack - context_.core.now();
     deadline_timer_ = context_.core.after(std::max(1ms, remaining), [this] { on_deadline(); });
+    const bool resumes = !metadata_.last_event_id.empty() || !metadata_.resumed_id.empty();
+    if (resumes && route_->kind == route_kind::stream && route_->resumable) {
+        find_origin();
+        return;
+    }
     attempt();
 }
 
+// Finds the software version of a stream that its caller takes up again.
+void relay_exchange::find_origin()
+{
+    service_ = choose_service();
+    context_.retries.record_first_attempt(service_);
+    context_.state.find_origin(
+        stream_id(), service_,
+        [self = std::weak_ptr(self_)](const std::optional<std::string>& version) {
+            const auto exchange = self.lock();
+            if (exchange == nullptr || (*exchange)->ended_) {
+                return;
+            }
+            relay_exchange& that = **exchange;
+            that.stream_version_ = version;
+            if (!version) {
+                that.give_up("origin_unknown");
+                return;
+            }
+            that.attempt();
+        });
+}
+
+// Identifies the stream of this request on all entries, also when its caller takes it up again.
+std::uint64_t relay_exchange::stream_id() const
+{
+    return hash_of(metadata_.resumed_id.empty() ? metadata_.id : metadata_.resumed_id);
+}
+
 bool relay_exchange::admit_request()
 {
     const http_head& request = caller_->request();
@@ -176,7 +209,8 @@
                                  .shared_tokens = shared_tokens(),
                                  .request_hash = hash_of(metadata_.id),
                                  .locations = &context_.state.locations(),
-                                 .tried = &tried_backends_},
+                                 .tried = &tried_backends_,
+                                 .software_version = stream_version_},
                                 context_.core.now());
     if (choice.server == nullptr) {
         wait_for_backend(choice);
@@ -188,6 +222,12 @@
 
 void relay_exchange::wait_for_backend(const backend_choice& choice)
 {
+    if (choice.reason == no_server_of_version) {
+        log_event(event_id::request_refused, "request={} reason={} software={} stream={:016x}",
+                  metadata_.id, choice.reason, *stream_version_, stream_id());
+        give_up(std::string(choice.reason));
+        return;
+    }
     const millis now = context_.core.now();
     if (!waiting_since_) {
         waiting_since_ = now;
@@ -217,11 +257,16 @@
 void relay_exchange::send(const backend_choice& choice)
 {
     backend& server = *choice.server;
+    sent_at_ = context_.core.now();
     backend_id_ = server.entry.id;
     backend_incarnation_ = server.incarnation();
+    software_version_ = server.entry.software_version;
+    if (route_->kind == route_kind::stream && route_->resumable) {
+        context_.state.origins().record(
+            {.stream = stream_id(), .service = service_, .version = software_version_}, sent_at_);
+    }
     tried_backends_.insert(backend_id_);
     ++server.in_flight;
-    sent_at_ = context_.core.now();
     for (const std::uint64_t part : shared_prefix_segments()) {
         context_.state.add_location(
             {static_cast<std::uint32_t>(part), static_cast<std::uint32_t>(server.hash)});
@@ -375,6 +420,9 @@
         held_body_.append(ready);
         return;
     }
+    if (mode_ == body_mode::events && !stream_version_) {
+        stream_version_ = software_version_;
+    }
     if (!first_byte_seen_) {
         first_byte_seen_ = true;
         context_.core.latency("first_byte_ms").observe(context_.core.now() - started_at_);
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -84,6 +84,7 @@
     };
 
     bool admit_request();
+    void find_origin();
     void attempt();
     void wait_for_backend(const backend_choice& choice);
     bool take_late_wait(millis now);
@@ -119,6 +120,7 @@
     std::string choose_service();
     std::vector<std::uint64_t> shared_prefix_segments() const;
     std::uint64_t placement_segment() const;
+    std::uint64_t stream_id() const;
     unsigned shared_tokens() const;
 
     relay_context context_;
@@ -143,7 +145,9 @@
     std::unique_ptr<client_connection> connection_;
     std::string backend_id_; // the backend server of the latest attempt
     std::uint64_t backend_incarnation_ = 0;
-    std::string service_; // chosen among the services of the route
+    std::string service_;                       // chosen among the services of the route
+    std::string software_version_;              // of that server
+    std::optional<std::string> stream_version_; // the only one that can continue the stream
     millis sent_at_{0};
     body_mode mode_ = body_mode::discard;
     std::optional<attempt_outcome> failure_; // set if the response head reports a failure
@@ -153,6 +157,8 @@
     bool response_end_marked_ = false; // the response has a length or chunks
     int status_ = 0;                   // status sent to the caller; 0 before that
     bool ended_ = false;
+    // Callbacks of the search for a stream's origin hold a weak reference.
+    std::shared_ptr<relay_exchange*> self_ = std::make_shared<relay_exchange*>(this);
     bool last_look_ = false; // makes no further attempt, begins no response that is not complete
     std::optional<http_head> held_head_; // of a response that arrives during the last look
     std::string held_body_;
--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -24,10 +24,40 @@
         }
         backends_.sweep(core_.now());
         locations_.sweep(core_.now());
+        note_versions();
+        origins_.sweep(core_.now());
         check_quarantine();
     });
 }
 
+void relay_state::note_versions()
+{
+    for (const auto& [id, server] : backends_.all()) {
+        origins_.note_version(server->entry.service, server->entry.software_version, core_.now());
+    }
+}
+
+std::optional<std::string> relay_state::known_origin(std::uint64_t stream,
+                                                     const std::string& service)
+{
+    if (auto version = origins_.find(stream, service, core_.now())) {
+        return version;
+    }
+    note_versions();
+    return origins_.only_version(service, core_.now());
+}
+
+void relay_state::find_origin(std::uint64_t stream, const std::string& service,
+                              std::function<void(std::optional<std::string>)> on_end)
+{
+    const std::optional<std::string> version = known_origin(stream, service);
+    if (version || !search_origin) {
+        on_end(version);
+        return;
+    }
+    search_origin(stream, service, std::move(on_end));
+}
+
 void relay_state::apply_configuration(relay_configuration configuration)
 {
     if (routes_ != nullptr && configuration.version < routes_->version()) {
@@ -53,6 +83,9 @@
     if (replaced && !known->entry.draining) {
         publish(crashes_.on_server_down(known->incarnation(), core_.now()));
     }
+    if (known != nullptr && known->entry.software_version != entry.software_version) {
+        origins_.note_version(known->entry.service, known->entry.software_version, core_.now());
+    }
     const backend_table::put_result result = backends_.put(entry, core_.now());
     if (result == backend_table::put_result::new_incarnation) {
         locations_.remove_server(static_cast<std::uint32_t>(hash_of(entry.id)));
@@ -160,6 +193,7 @@
     if (!known->entry.draining) {
         publish(crashes_.on_server_down(known->incarnation(), core_.now()));
     }
+    origins_.note_version(known->entry.service, known->entry.software_version, core_.now());
     backends_.drop(id, core_.now());
     log_event(event_id::backend_gone, "backend={} kept_for_now={} source_age_ms={}", id,
               backends_.find(id) != nullptr, source_age().count());
--- a/Source/relay_state.h
+++ b/Source/relay_state.h
@@ -6,11 +6,14 @@
 #include "prefix_locations.h"
 #include "route_table.h"
 #include "service.h"
+#include "stream_origins.h"
 
 #include <nlohmann/json_fwd.hpp>
 #include <sigc++/sigc++.h>
 
+#include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -69,6 +72,21 @@
     }
     const prefix_locations& locations() const { return locations_; }
 
+    /// At which software version the streams of all entries began.
+    stream_origins& origins() { return origins_; }
+    /// The same of one stream, as far as this entry knows: from the stream itself, or because
+    /// all servers of its service have the same version.
+    std::optional<std::string> known_origin(std::uint64_t stream, const std::string& service);
+    /// Finds the software version at which a stream of the service began; passes on none if it
+    /// can't be known.  May call back at once.
+    void find_origin(std::uint64_t stream, const std::string& service,
+                     std::function<void(std::optional<std::string>)> on_end);
+    /// The same for a stream that is not known here, with the help of others.  If unset, none can
+    /// help.
+    std::function<void(std::uint64_t stream, const std::string& service,
+                       std::function<void(std::optional<std::string>)> on_end)>
+        search_origin;
+
     /// Reports that a connection to the server could not be established; `refused` is true if
     /// its machine answered that no process listens there.
     void backend_unreachable(backend& server, bool refused);
@@ -110,6 +128,7 @@
     void publish(const std::vector<std::uint64_t>& suspects,
                  std::optional<std::uint64_t> server_down = std::nullopt);
     void check_quarantine();
+    void note_versions();
     void mark_source_lost(const std::string& why);
     void mark_source_regained();
 
@@ -118,6 +137,7 @@
     std::shared_ptr<const route_table> routes_;
     backend_table backends_;
     prefix_locations locations_;
+    stream_origins origins_;
     crash_detector crashes_;
     std::set<std::uint64_t> quarantine_; // suspects of which `quarantine_changed` was raised
     bool complete_ = false;
