--- a/Source/event_log.cpp
+++ b/Source/event_log.cpp
@@ -159,6 +159,7 @@
         {event_id::peer_silent, severity::warning, "peer_silent"},
         {event_id::records_from_peer, severity::info, "records_from_peer"},
         {event_id::log_restored, severity::warning, "log_restored"},
+        {event_id::origins_read, severity::info, "origins_read"},
     }};
     return catalogue;
 }
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -75,6 +75,7 @@
     peer_silent = 1815,
     records_from_peer = 1816,
     log_restored = 1817,
+    origins_read = 1818,
 };
 
 /// Number, severity and name of an event.
@@ -84,7 +85,7 @@
     std::string_view name;
 };
 
-inline constexpr std::size_t event_count = 54;
+inline constexpr std::size_t event_count = 55;
 
 /// Catalogue of all events, sorted by number.
 const std::array<event_description, event_count>& event_catalogue();
--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -133,17 +133,57 @@
     entries_changed.emit();
 }
 
+bool peer_gossip::reads_logs(const peer& row) const
+{
+    return row.source_available && !row.earlier_era &&
+           core_.now() - row.last_seen < options_.peer_timeout;
+}
+
+std::size_t peer_gossip::log_readers_before() const
+{
+    const std::string own = options_.listen.text();
+    return static_cast<std::size_t>(
+        std::count_if(peers_.begin(), peers_.end(),
+                      [&](const auto& row) { return row.first < own && reads_logs(row.second); }));
+}
+
 // An entry reads the logs unless the log service answers at least `log_readers` peers with lower
 // addresses.
 bool peer_gossip::must_read_logs() const
 {
-    const millis now = core_.now();
-    const std::string own = options_.listen.text();
-    const auto others = std::count_if(peers_.begin(), peers_.end(), [&](const auto& row) {
-        return row.first < own && row.second.source_available && !row.second.earlier_era &&
-               now - row.second.last_seen < options_.peer_timeout;
-    });
-    return others < static_cast<std::ptrdiff_t>(options_.log_readers);
+    return log_readers_before() < options_.log_readers;
+}
+
+std::size_t peer_gossip::send_origins(const wire::stream_origins& message)
+{
+    const bool few = peers_.size() <= std::size_t{2} * options_.base_interval_peers;
+    std::size_t receivers = 0;
+    for (auto& [address, row] : peers_) {
+        const bool heard = core_.now() - row.last_seen < silence_limit();
+        if (!heard || (!few && !reads_logs(row))) {
+            continue;
+        }
+        wire::envelope envelope;
+        *envelope.mutable_stream_origins() = message;
+        row.socket->send({}, std::move(envelope));
+        if (++receivers == options_.log_readers && !few) {
+            break;
+        }
+    }
+    return receivers;
+}
+
+// A question comes by the socket of the peer that asks, and the answer by the one of this entry.
+void peer_gossip::handle_origins(const std::string& route, const wire::stream_origins& message)
+{
+    if (!on_origins) {
+        return;
+    }
+    if (auto reply = on_origins(message)) {
+        wire::envelope envelope;
+        *envelope.mutable_stream_origins() = std::move(*reply);
+        listen_socket_->send(route, std::move(envelope));
+    }
 }
 
 unsigned peer_gossip::rank(std::uint64_t hash) const
@@ -291,6 +331,9 @@
     case wire::envelope::kCrashEvidence:
         state_->merge_crash_evidence(message.crash_evidence());
         return;
+    case wire::envelope::kStreamOrigins:
+        handle_origins(route, message.stream_origins());
+        return;
     default:
         log_event(event_id::malformed_message, "body={}", static_cast<int>(message.body_case()));
     }
--- a/Source/peer_gossip.h
+++ b/Source/peer_gossip.h
@@ -72,6 +72,14 @@
     /// Adds peers whose addresses were obtained by other means than gossip.
     void add_peer_addresses(const std::vector<net_address>& addresses);
 
+    /// Sends where streams began, or questions about that, to the entries that hold them for all:
+    /// all peers, or the log readers if there are many peers.  Returns the number of receivers.
+    std::size_t send_origins(const wire::stream_origins& message);
+    /// Whether this entry is the first of those that read the logs.
+    bool first_log_reader() const { return log_readers_before() == 0; }
+    /// Handles a message about streams; returns the reply, if any.
+    std::function<std::optional<wire::stream_origins>(const wire::stream_origins&)> on_origins;
+
     /// Returns whether this entry's last read of each log from the log service succeeded.
     std::function<bool()> source_answers;
     /// Raised when the number of entries has changed.
@@ -108,6 +116,9 @@
     void request_records(peer& from, std::size_t log, std::uint64_t era, std::uint64_t offset);
     void handle_record_request(const std::string& route, const wire::record_request& request);
     void apply_record_batch(const wire::record_batch& batch);
+    void handle_origins(const std::string& route, const wire::stream_origins& message);
+    bool reads_logs(const peer& row) const;
+    std::size_t log_readers_before() const;
     void sweep();
     millis interval() const;
     millis silence_limit() const;
--- a/Tests/Relay/peer_gossip_test.cpp
+++ b/Tests/Relay/peer_gossip_test.cpp
@@ -240,3 +240,25 @@
     ASSERT_TRUE(run_until([&] { return entries[1]->orders.lost() == 1; }));
     EXPECT_EQ(entries[1]->orders.lost_fingerprint(), entries[0]->orders.lost_fingerprint());
 }
+
+// A question about a stream, and its answer, between entries.
+TEST_F(two_entries, answer_each_others_questions_about_streams)
+{
+    start(0);
+    start(1);
+    unsigned answers = 0;
+    entries[0]->gossip.on_origins = [&](const wire::stream_origins& message) {
+        answers += static_cast<unsigned>(message.unknown_size());
+        return std::optional<wire::stream_origins>();
+    };
+    entries[1]->gossip.on_origins = [](const wire::stream_origins& message) {
+        wire::stream_origins reply;
+        reply.add_unknown(message.wanted(0).stream());
+        return std::optional(reply);
+    };
+    wire::stream_origins question;
+    question.add_wanted()->set_stream(1);
+    EXPECT_EQ(entries[0]->gossip.send_origins(question), 0U) << "no peer was heard yet";
+    ASSERT_TRUE(run_until([&] { return entries[0]->gossip.send_origins(question) == 1; }));
+    EXPECT_TRUE(run_until([&] { return answers > 0; }));
+}
