--- a/Source/backend_chooser.cpp
+++ b/Source/backend_chooser.cpp
@@ -103,8 +103,9 @@
                                         static_cast<std::uint32_t>(server.hash), now);
 }
 
-// Finds a server that caches a longer part of the shared prefix than `server` does.  Draining
-// servers and servers in disabled availability zones qualify, since their caches are intact.
+// Finds a server of the same software version that caches a longer part of the shared prefix than
+// `server` does.  Draining servers and servers in disabled availability zones qualify, since their
+// caches are intact.
 const backend* backend_chooser::find_copy_source(const backend_table& table, const backend& server,
                                                  const backend_criteria& criteria, millis now) const
 {
@@ -125,7 +126,8 @@
         for (const std::uint32_t server_hash :
              criteria.locations->servers_cached(short_hash, now)) {
             const backend* other = table.find_by_hash(server_hash);
-            if (other == nullptr || other->entry.service != criteria.service || other->missing ||
+            if (other == nullptr || other->entry.service != criteria.service ||
+                other->entry.software_version != server.entry.software_version || other->missing ||
                 other->health.in_backoff(now)) {
                 continue;
             }
--- a/Tests/Decisions/backend_choice_test.cpp
+++ b/Tests/Decisions/backend_choice_test.cpp
@@ -454,3 +454,54 @@
     second.table.record_limit_report(outdated.front(), now + 400ms);
     EXPECT_FALSE(same.limit.per_second) << "an older report replaced a newer one";
 }
+
+// release: guards against prompts that are copied from a server whose software lays them out
+// differently.
+TEST(backend_choice, copies_prompts_only_between_servers_of_one_software_version)
+{
+    for (const bool same : {true, false}) {
+        pool engines(2);
+        constexpr std::uint64_t prompt = 5;
+        const std::string home = engines.send(prompt, 10000);
+        for (unsigned index = 0; index < 2; ++index) {
+            backend_entry entry = engines.table.find(pool::name(index))->entry;
+            const bool is_home = entry.id == home;
+            entry.software_version = is_home || same ? "v1" : "v2";
+            entry.draining = is_home;
+            engines.table.put(entry, now);
+        }
+        const backend_choice choice = engines.choose(prompt, 10000, now + 2000ms);
+        ASSERT_NE(choice.server, nullptr);
+        EXPECT_EQ(choice.copy_source != nullptr, same);
+    }
+}
+
+// release: a stream continues at any load at a server of its version, and nowhere else.
+TEST(backend_choice, takes_only_servers_of_the_software_version_that_a_stream_needs)
+{
+    pool engines(4);
+    for (unsigned index = 0; index < 4; ++index) {
+        backend_entry entry = engines.table.find(pool::name(index))->entry;
+        entry.software_version = index == 3 ? "v1" : "v2";
+        engines.table.put(entry, now);
+    }
+    engines.table.find("e3")->in_flight = 20;
+    backend_criteria criteria{.service = "engine", .software_version = "v1"};
+    for (const std::uint64_t prompt : {1U, 2U, 3U}) {
+        criteria.segment_hashes = {prompt};
+        const backend_choice choice =
+            engines.chooser.choose(engines.table, engines.service, criteria, now);
+        ASSERT_NE(choice.server, nullptr);
+        EXPECT_EQ(choice.server->entry.id, "e3");
+    }
+    criteria.software_version = "v0";
+    const backend_choice none =
+        engines.chooser.choose(engines.table, engines.service, criteria, now);
+    EXPECT_EQ(none.server, nullptr);
+    EXPECT_EQ(none.reason, no_server_of_version);
+    const std::set<std::string> tried{"e3"};
+    criteria.software_version = "v1";
+    criteria.tried = &tried;
+    EXPECT_EQ(engines.chooser.choose(engines.table, engines.service, criteria, now).reason,
+              "all_tried");
+}
