Continue a stream last at a server that may run other software by now

A server that refused a connection has ended: it continues no stream until its new entry comes, for 5 s at most. One that lost a connection may have: others go first for 1.5 s; to skip it altogether would refuse streams whose servers are all sound (tried, it failed a_broken_stream_goes_on_at_the_version_that_began_it). The first of the two new tests fails without the check; the second also holds by the pause after a refused connection.

--- a/Source/backend_chooser.cpp
+++ b/Source/backend_chooser.cpp
@@ -209,7 +209,8 @@
                               : options_.load_margin;
     const double bound = options_.load_multiple * pool.mean + margin;
 
-    // Outliers and servers over the load bound serve as fallback if no other server qualifies.
+    // Outliers, servers over the load bound and, for a stream that needs a software version,
+    // servers that may have another by now serve as fallback if no other server qualifies.
     backend* fallback = nullptr;
     unsigned fallback_rank = 0;
     unsigned rank = 0;
@@ -223,6 +224,10 @@
         if (choice.reason == no_server_of_version) {
             choice.reason = "all_tried";
         }
+        if (criteria.software_version && server->has_restarted(now)) {
+            choice.reason = "restarted";
+            continue;
+        }
         if (criteria.tried != nullptr && criteria.tried->contains(server->entry.id)) {
             continue;
         }
@@ -239,7 +244,8 @@
             continue;
         }
         const unsigned load = server->load(now);
-        if (load + 1 > bound || is_outlier(table, pool, *server, now)) {
+        const bool unsure = criteria.software_version && server->may_have_restarted(now);
+        if (load + 1 > bound || unsure || is_outlier(table, pool, *server, now)) {
             if (fallback == nullptr || load < fallback->load(now)) {
                 fallback = server;
                 fallback_rank = rank;
--- a/Source/backend_table.cpp
+++ b/Source/backend_table.cpp
@@ -19,6 +19,18 @@
     return in_flight + others;
 }
 
+bool backend::has_restarted(millis now) const
+{
+    constexpr millis registration_time = 5000ms; // servers that start register at once
+    return now - refused_at < registration_time;
+}
+
+bool backend::may_have_restarted(millis now) const
+{
+    constexpr millis restart_time = 1500ms; // longer ones refuse connections first
+    return has_restarted(now) || now - lost_at < restart_time;
+}
+
 std::uint64_t backend::incarnation() const
 {
     return combine_hashes(combine_hashes(hash, entry.started_at), hash_of(entry.address.text()));
--- a/Source/backend_table.h
+++ b/Source/backend_table.h
@@ -46,6 +46,8 @@
     unsigned peer_in_flight = 0;       // requests from peers, by their latest digests
     unsigned peer_reported_load = 0;   // load that the server reported to a peer
     millis peer_reported_at{-1000000}; // time of that report; initially long past
+    millis lost_at{-1000000};    // a connection was lost during a request; initially long past
+    millis refused_at{-1000000}; // a connection was refused; initially long past
     backend_load reported_load;
     unsigned in_flight_at_report = 0; // value of `in_flight` at `reported_at`
     millis reported_at{-1000000};     // time of the last load report; initially long past
@@ -57,6 +59,10 @@
     /// Estimated number of requests running or waiting at the server, from all entries.
     unsigned load(millis now) const;
     bool cold(millis now) const { return now < cold_until; }
+    /// Whether the server has started again, perhaps with other software, since it wrote its entry.
+    bool has_restarted(millis now) const;
+    /// Whether that is possible.
+    bool may_have_restarted(millis now) const;
     /// Hash that identifies this incarnation of the server on all entries.
     std::uint64_t incarnation() const;
 };
@@ -102,6 +108,10 @@
     double mean_load(const std::string& service, millis now) const;
     /// Records a failed connection to the server.
     void record_connect_failure(backend& server, millis now);
+    /// Records that a connection to the server was lost during a request.
+    static void record_loss(backend& server, millis now) { server.lost_at = now; }
+    /// Records that a connection to the server was refused: its process had ended.
+    static void record_refusal(backend& server, millis now) { server.refused_at = now; }
     /// Records the outcome of a request at the server.
     void record_outcome(backend& server, backend_outcome outcome, millis now);
     /// Outcomes of requests at all servers of `service` together.
--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -103,6 +103,9 @@
 {
     backends_.record_connect_failure(server, core_.now());
     // A timeout may be due to this entry's own links.
+    if (refused) {
+        backend_table::record_refusal(server, core_.now());
+    }
     if (!refused || server.entry.draining) {
         return;
     }
--- a/Tests/Relay/stream_versions_test.cpp
+++ b/Tests/Relay/stream_versions_test.cpp
@@ -154,3 +154,46 @@
     EXPECT_EQ(caller.status(), 503);
     EXPECT_LT(fleet.core().now() - sent_at, 100ms);
 }
+
+// Guards against a server that starts again under its id with other software: the streams of its
+// old version came to it until its new entry was read.
+TEST_F(stream_versions, a_server_that_may_have_restarted_continues_a_stream_last)
+{
+    add_server("s1", "v1");
+    add_server("s2", "v1");
+    scripted_caller& caller = send("q1");
+    const std::size_t first = next_server(caller);
+    answer(first, "q1", "id: 1\ndata: a\n\n");
+    ASSERT_TRUE(
+        fleet.wait_for([&] { return caller.received().find("data: a") != std::string::npos; }));
+    break_off(first);
+    const std::size_t second = next_server(caller);
+    ASSERT_NE(second, first);
+    answer(second, "q1", "id: 2\ndata: b\n\n");
+    servers[second]->close(servers[second]->requests() - 1);
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("0\r\n\r\n"); }));
+    // The first server may run v2 from now on, and its entry does not tell yet.
+    for (const char* attempt : {"q2", "q3", "q4"}) {
+        scripted_caller& again = send(attempt, take_up_of("q1"));
+        const std::size_t at = next_server(again);
+        EXPECT_EQ(at, second);
+        answer(at, attempt, "id: 2\ndata: b\n\n");
+        servers[at]->close(servers[at]->requests() - 1);
+    }
+}
+
+TEST_F(stream_versions, a_server_that_has_restarted_continues_no_stream_until_it_is_listed)
+{
+    add_server("s1", "v1");
+    begin_and_break_off("q1");
+    backend& server = *fleet.state().backends().find("s1");
+    fleet.state().backend_unreachable(server, true);
+    scripted_caller& refused = send("q2", take_up_of("q1"));
+    EXPECT_EQ(next_server(refused), servers.size());
+    EXPECT_EQ(refused.status(), 503);
+    backend_entry restarted = server.entry;
+    ++restarted.started_at;
+    fleet.state().update_backend(restarted);
+    scripted_caller& again = send("q3", take_up_of("q1"));
+    EXPECT_EQ(next_server(again), 0U);
+}
