Send digests four times as often in large fleets

Each entry sent 20 digests a second, so that a peer's counts were up to 3.4 s old among 68 entries.

The bound on the number of peers up to which digests alone show the load, ten, is now an option of its own.

--- a/Source/log_follower.h
+++ b/Source/log_follower.h
@@ -94,9 +94,8 @@
     unsigned vain_listings_ = 0;               // listings after which no read succeeded
     std::optional<std::string> next_page_after_;
     std::set<std::string> listed_pages_; // keys after which pages of the current listing start
-    std::size_t listed_and_ignored_ =
-        0;                       // records of the listing that are not newer than known ones
-    std::uint64_t read_era_ = 0; // era of the mirror when the last read was sent
+    std::size_t listed_and_ignored_ = 0; // listed records that are not newer than known ones
+    std::uint64_t read_era_ = 0;         // era of the mirror when the last read was sent
     bool read_pending_ = false;
     bool answered_ = false;
     kernel::timer timer_;
--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -156,7 +156,7 @@
 
 std::size_t peer_gossip::send_origins(const wire::stream_origins& message)
 {
-    const bool few = peers_.size() <= std::size_t{2} * options_.base_interval_peers;
+    const bool few = peers_.size() <= options_.few_peers;
     std::size_t receivers = 0;
     for (auto& [address, row] : peers_) {
         const bool heard = core_.now() - row.last_seen < silence_limit();
@@ -198,9 +198,7 @@
 
 millis peer_gossip::interval() const
 {
-    const auto peers = static_cast<unsigned>(peers_.size());
-    return options_.interval * std::max(peers, options_.base_interval_peers) /
-           options_.base_interval_peers;
+    return options_.interval_among(peers_.size());
 }
 
 // Silence after which a peer is taken to be gone: with many entries, each is heard seldom.
@@ -242,7 +240,7 @@
     }
     // Busy reports are only sent if there are many entries: with few, their in-flight counts show
     // the same load, and earlier.
-    if (peers_.size() > std::size_t{2} * options_.base_interval_peers) {
+    if (peers_.size() > options_.few_peers) {
         for (const backend_table::busy_report& report :
              state_->backends().busy_to_report(core_.now())) {
             if (static_cast<std::size_t>(body.busy_size()) >= max_busy_reports) {
--- a/Source/peer_gossip.h
+++ b/Source/peer_gossip.h
@@ -10,6 +10,7 @@
 #include <sigc++/sigc++.h>
 #include <wire.pb.h>
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <map>
@@ -26,9 +27,17 @@
     net_address listen;
     std::vector<net_address> seeds; // initial peers; some of them may no longer exist
     // Interval between two digests to one peer.  With more than `base_interval_peers` peers it
-    // grows in proportion to their number, which limits an entry to 20 digests per second.
+    // grows in proportion to their number, which limits an entry to 80 digests per second.
     millis interval = 250ms;
-    unsigned base_interval_peers = 5;
+    unsigned base_interval_peers = 20;
+    unsigned few_peers = 10; // up to this number, their digests alone show the load of all servers
+
+    /// Interval between two digests to one of `peers` peers.
+    millis interval_among(std::size_t peers) const
+    {
+        const auto counted = std::max<std::size_t>(peers, base_interval_peers);
+        return interval * static_cast<millis::rep>(counted) / base_interval_peers;
+    }
     // Digests go to the peers in turn.  Of each sequence of this many digests, the first N include
     // the list of peers, where N is the number of peers.
     unsigned peer_list_every = 8;
--- a/Tests/Relay/peer_gossip_test.cpp
+++ b/Tests/Relay/peer_gossip_test.cpp
@@ -262,3 +262,15 @@
     ASSERT_TRUE(run_until([&] { return entries[0]->gossip.send_origins(question) == 1; }));
     EXPECT_TRUE(run_until([&] { return answers > 0; }));
 }
+
+// callers, capped: guards against load that stays uneven because, in a fleet of many entries, each
+// hears too late where the others send their requests.  The load bound is judged over five seconds.
+TEST(gossip_interval, bounds_the_age_and_the_number_of_digests)
+{
+    const peer_gossip_options options;
+    EXPECT_EQ(options.interval_among(4), options.interval);
+    EXPECT_LE(options.interval_among(67), 1000ms);
+    for (const std::size_t peers : {1U, 10U, 24U, 67U, 409U}) {
+        EXPECT_LE(peers * 1000ms / options.interval_among(peers), 80) << peers;
+    }
+}
