Log how the calls to backend servers end

Without these the hypotheses couldn't be told apart: an answer that ended by its connection looked like any other.

--- a/Source/client_connection.h
+++ b/Source/client_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "enum_names.h"
 #include "http_message.h"
 #include "net_address.h"
 #include "time_types.h"
@@ -22,6 +23,12 @@
     lost,     // the connection closed or timed out before the response was complete
 };
 
+inline constexpr std::array http_call_result_names{
+    enum_name<http_call_result>{http_call_result::complete, "complete"},
+    enum_name<http_call_result>{http_call_result::not_sent, "not_sent"},
+    enum_name<http_call_result>{http_call_result::lost, "lost"},
+};
+
 struct client_connection_options {
     // Allows for many round trips within a region, yet leaves time to try another server.
     millis connect_timeout = 250ms;
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -272,6 +272,7 @@
             {static_cast<std::uint32_t>(part), static_cast<std::uint32_t>(server.hash)});
     }
     failure_.reset();
+    response_end_marked_ = false;
     mode_ = body_mode::discard;
     events_.restart();
     backend_call_metadata metadata{
@@ -481,9 +482,11 @@
         parts.push_back(part.hash);
     }
     log_event(event_id::attempt_failed,
-              "request={} backend={} end={} after_ms={} head_passed={} parts={:x}", metadata_.id,
-              backend_id_, name_of(attempt_outcome_names, *failure), (now - sent_at_).count(),
-              response_head_sent_, fmt::join(parts, ","));
+              "request={} backend={} end={} connection={} end_marked={} after_ms={} head_passed={} "
+              "parts={:x}",
+              metadata_.id, backend_id_, name_of(attempt_outcome_names, *failure),
+              name_of(http_call_result_names, outcome), response_end_marked_,
+              (now - sent_at_).count(), response_head_sent_, fmt::join(parts, ","));
     handle_failed_attempt(*failure);
 }
 
@@ -695,10 +698,11 @@
     context_.core.latency("request_ms").observe(took);
     log_event(event_id::request_ended,
               "request={} route={} account={} status={} outcome={} ms={} tries={} backend={} "
-              "version={}",
+              "end_marked={} version={}",
               metadata_.id, route_ == nullptr ? "-" : route_->name,
               account_ == nullptr ? "-" : account_->name, status_, outcome, took.count(),
-              tried_backends_.size(), backend_id_, table_ == nullptr ? 0 : table_->version());
+              tried_backends_.size(), backend_id_, response_end_marked_,
+              table_ == nullptr ? 0 : table_->version());
     on_end_(*this);
 }
 
