Failing tests: streams whose end only their connection tells

A server sends a stream without a length or chunks and closes the connection between two events, as a crash does; the caller gets the last chunk and takes the stream for whole (ORDER). Both tests fail on this code: one for the server that begins a stream, one for the server that continues it.

--- /dev/null
+++ b/Tests/Relay/unproven_answers_test.cpp
@@ -0,0 +1,83 @@
+// Tests what the relay makes of responses, and ends of responses, that prove nothing.
+
+#include "relay_harness.h"
+
+#include <gtest/gtest.h>
+
+using namespace cyclamen;
+
+namespace {
+
+const std::string chunked_stream =
+    "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nContent-Type: text/event-stream\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n9\r\nid: 1\n\nid\r\n";
+const std::string unmarked_stream =
+    "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nContent-Type: text/event-stream\r\n\r\n";
+
+class unproven_answers : public testing::Test {
+protected:
+    unproven_answers() : shops{&fleet.add_backend("s1"), &fleet.add_backend("s2")}
+    {
+        fleet.configure(relay_harness::configuration());
+    }
+
+    std::size_t arrivals() const { return shops[0]->requests() + shops[1]->requests(); }
+
+    // Waits for request number `count` and returns the server that received it.
+    scripted_backend& receiver_of(std::size_t count)
+    {
+        const std::size_t before = shops[0]->requests();
+        EXPECT_TRUE(fleet.wait_for([&] { return arrivals() == count; }));
+        return shops[0]->requests() > before ? *shops[0] : *shops[1];
+    }
+
+    scripted_caller& send(const std::string& request)
+    {
+        scripted_caller& caller = fleet.add_caller();
+        caller.send(request);
+        return caller;
+    }
+
+    void await_end(const scripted_caller& caller)
+    {
+        ASSERT_TRUE(fleet.wait_for([&] { return caller.ended(); })) << caller.received();
+    }
+
+    relay_harness fleet;
+    std::array<scripted_backend*, 2> shops;
+};
+
+bool has_last_chunk(const scripted_caller& caller)
+{
+    return caller.received().find("\r\n0\r\n") != std::string::npos;
+}
+
+} // namespace
+
+// Guards against a stream that its server broke off between two events by closing the connection,
+// and that reaches its caller framed as complete.
+TEST_F(unproven_answers, a_stream_that_ends_with_its_connection_is_not_framed_as_complete)
+{
+    scripted_caller& caller = send(post("/tell/", "x"));
+    scripted_backend& shop = receiver_of(1);
+    shop.respond(0, unmarked_stream + "id: 1\n\nid: 2\n\n");
+    shop.close(0);
+    await_end(caller);
+    EXPECT_NE(caller.received().find("id: 2\n\n"), std::string::npos);
+    EXPECT_FALSE(has_last_chunk(caller)) << caller.received();
+}
+
+// Guards against the same for the server that continues a stream.
+TEST_F(unproven_answers, a_continued_stream_that_ends_with_its_connection_is_not_framed_as_complete)
+{
+    scripted_caller& caller = send(post("/resume/", "x"));
+    scripted_backend& first = receiver_of(1);
+    first.respond(0, chunked_stream);
+    first.reset(0);
+    scripted_backend& second = receiver_of(2);
+    second.respond(0, unmarked_stream + "id: 2\n\n");
+    second.close(0);
+    await_end(caller);
+    EXPECT_NE(caller.received().find("id: 2\n\n"), std::string::npos);
+    EXPECT_FALSE(has_last_chunk(caller)) << caller.received();
+}
