Pass on that only the connection tells where an answer ends

Cause: a server that crashes closes its connections in the orderly way in which an answer without a length or chunks ends. client_connection called both complete, and the relay framed the answer in chunks and wrote the last one. ends_inside_event caught only a crash in the middle of an event.

client_connection now ends such calls as `closed`. The relay passes the uncertainty on: the caller's response has neither a length nor chunks, and its connection ends as the server's did, in order or by a reset. A response that has already begun in chunks cannot end so; it goes on elsewhere or is broken off.

--- a/Source/agent_server.cpp
+++ b/Source/agent_server.cpp
@@ -192,6 +192,7 @@
         agent_core_->on_backend_state(false, true);
         agent_core_->on_run_end(id, run_outcome::refused_connection, core_.now());
         return;
+    case http_call_result::closed: // whether the response is whole is not known
     case http_call_result::lost:
         agent_core_->on_backend_cold(core_.now()); // at once, since the probe takes time
         classify_lost_run(id);
--- a/Source/caller_connection.cpp
+++ b/Source/caller_connection.cpp
@@ -186,7 +186,7 @@
     is_head_request_ = request_.method == "HEAD";
     const bool bodiless = is_head_request_ || head.status == 204 || head.status == 304;
     const bool sized = bodiless || head.length.has_value();
-    chunked_ = !sized && request_.minor_version > 0;
+    chunked_ = !sized && head.chunked && request_.minor_version > 0;
     close_delimited_ = !sized && !chunked_;
     head.chunked = chunked_;
     if (close_delimited_) {
--- a/Source/caller_connection.h
+++ b/Source/caller_connection.h
@@ -57,8 +57,8 @@
     /// Returns the time at which the first byte of the request was read.
     millis started_at() const { return started_at_; }
 
-    /// Sends the response headers. A response without a length is sent with chunked encoding, or
-    /// ends with the connection if the caller uses HTTP/1.0.
+    /// Sends the response headers. A response without a length or chunks ends with the connection,
+    /// and so does a chunked one if the caller uses HTTP/1.0.
     void begin_response(http_head head);
     void write(std::string_view data);
     void end_response();
@@ -69,6 +69,8 @@
     void abort_response();
 
     bool response_started() const { return state_ == stage::responding; }
+    /// Whether the response that has begun ends with the connection.
+    bool ends_with_connection() const { return close_delimited_; }
     bool closed() const { return state_ == stage::closed; }
     /// Number of response bytes that are not yet written to the socket.
     std::size_t unsent_bytes() const;
--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -347,9 +347,10 @@
         }
         if ((what & BEV_EVENT_EOF) != 0 && response_started && !skipping_response) {
             reader.feed_end();
-            const bool whole = reader.complete() && reader.parse_error() == http_parse_error::none;
+            const bool until_close =
+                reader.complete() && reader.parse_error() == http_parse_error::none;
             close();
-            finish(whole ? http_call_result::complete : http_call_result::lost);
+            finish(until_close ? http_call_result::closed : http_call_result::lost);
             return;
         }
         finish(http_call_result::lost);
--- a/Source/client_connection.h
+++ b/Source/client_connection.h
@@ -18,13 +18,15 @@
 
 /// Result of an HTTP call.
 enum class http_call_result {
-    complete,
+    complete, // the length or the last chunk shows that the response is whole
+    closed,   // the server closed the connection at the end of a response without either
     not_sent, // connecting failed: the server cannot have received any of the request
     lost,     // the connection closed or timed out before the response was complete
 };
 
 inline constexpr std::array http_call_result_names{
     enum_name<http_call_result>{http_call_result::complete, "complete"},
+    enum_name<http_call_result>{http_call_result::closed, "closed"},
     enum_name<http_call_result>{http_call_result::not_sent, "not_sent"},
     enum_name<http_call_result>{http_call_result::lost, "lost"},
 };
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -272,7 +272,7 @@
             {static_cast<std::uint32_t>(part), static_cast<std::uint32_t>(server.hash)});
     }
     failure_.reset();
-    response_end_marked_ = false;
+    call_end_.reset();
     mode_ = body_mode::discard;
     events_.restart();
     backend_call_metadata metadata{
@@ -361,7 +361,6 @@
 void relay_exchange::begin_caller_response(const http_head& head)
 {
     status_ = head.status;
-    response_end_marked_ = head.length || head.chunked;
     mode_ = is_event_stream(head) ? body_mode::events : body_mode::pass;
     if (response_head_sent_) {
         return;
@@ -377,8 +376,9 @@
 {
     http_head response = head;
     remove_hop_by_hop_headers(response, {});
-    if (mode_ == body_mode::events && route_->resumable) {
+    if (mode_ == body_mode::events && route_->resumable && response.length) {
         response.length.reset(); // another server may send the rest of the stream
+        response.chunked = true;
     }
     response_head_sent_ = true;
     caller_->begin_response(std::move(response));
@@ -434,10 +434,15 @@
     }
 }
 
-// Whether the response ended with its connection, in the middle of an event.
-bool relay_exchange::ends_inside_event() const
+// A response that ended with its connection may be whole or not.  It is delivered if the caller's
+// response ends in the same way, unless it ends inside an event.
+bool relay_exchange::is_broken_off(http_call_result outcome) const
 {
-    return !response_end_marked_ && mode_ == body_mode::events && events_.inside_event();
+    if (outcome != http_call_result::closed) {
+        return outcome == http_call_result::lost;
+    }
+    return (mode_ == body_mode::events && events_.inside_event()) ||
+           (response_head_sent_ && !caller_->ends_with_connection());
 }
 
 void relay_exchange::on_call_end(http_call_result outcome)
@@ -445,10 +450,11 @@
     backend* server = context_.state.backends().find(backend_id_);
     const millis now = context_.core.now();
     std::optional<attempt_outcome> failure = failure_;
+    call_end_ = outcome;
     if (outcome == http_call_result::not_sent) {
         failure = attempt_outcome::not_sent;
     }
-    else if (!failure && (outcome == http_call_result::lost || ends_inside_event())) {
+    else if (!failure && is_broken_off(outcome)) {
         failure = attempt_outcome::lost;
     }
     if (server != nullptr && failure == attempt_outcome::not_sent) {
@@ -465,7 +471,7 @@
     }
     release_call(false);
     if (!failure) {
-        if (!response_end_marked_) {
+        if (outcome == http_call_result::closed) {
             record_possible_crash();
         }
         else if (status_ < first_redirection) {
@@ -482,11 +488,10 @@
         parts.push_back(part.hash);
     }
     log_event(event_id::attempt_failed,
-              "request={} backend={} end={} connection={} end_marked={} after_ms={} head_passed={} "
-              "parts={:x}",
+              "request={} backend={} end={} connection={} after_ms={} head_passed={} parts={:x}",
               metadata_.id, backend_id_, name_of(attempt_outcome_names, *failure),
-              name_of(http_call_result_names, outcome), response_end_marked_,
-              (now - sent_at_).count(), response_head_sent_, fmt::join(parts, ","));
+              name_of(http_call_result_names, outcome), (now - sent_at_).count(),
+              response_head_sent_, fmt::join(parts, ","));
     handle_failed_attempt(*failure);
 }
 
@@ -698,10 +703,11 @@
     context_.core.latency("request_ms").observe(took);
     log_event(event_id::request_ended,
               "request={} route={} account={} status={} outcome={} ms={} tries={} backend={} "
-              "end_marked={} version={}",
+              "connection={} version={}",
               metadata_.id, route_ == nullptr ? "-" : route_->name,
               account_ == nullptr ? "-" : account_->name, status_, outcome, took.count(),
-              tried_backends_.size(), backend_id_, response_end_marked_,
+              tried_backends_.size(), backend_id_,
+              call_end_ ? name_of(http_call_result_names, *call_end_) : "-",
               table_ == nullptr ? 0 : table_->version());
     on_end_(*this);
 }
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -96,7 +96,7 @@
     std::string_view ready_events(std::string_view data);
     void on_response_body(std::string_view data);
     void forward_body(std::string_view ready);
-    bool ends_inside_event() const;
+    bool is_broken_off(http_call_result outcome) const;
     void on_call_end(http_call_result end);
     void handle_failed_attempt(attempt_outcome end);
     void finish_response();
@@ -154,7 +154,7 @@
     event_stream_splitter events_;
     bool response_head_sent_ = false;
     bool first_byte_seen_ = false;
-    bool response_end_marked_ = false; // the response has a length or chunks
+    std::optional<http_call_result> call_end_; // of the latest attempt
     int status_ = 0;                   // status sent to the caller; 0 before that
     bool ended_ = false;
     // Callbacks of the search for a stream's origin hold a weak reference.
--- a/Tests/Relay/relay_harness.cpp
+++ b/Tests/Relay/relay_harness.cpp
@@ -50,6 +50,7 @@
 {
     std::array<char, 65536> part{};
     while (true) {
+        errno = 0;
         const ssize_t count = recv(socket, part.data(), part.size(), MSG_DONTWAIT);
         if (count > 0) {
             text.append(part.data(), static_cast<std::size_t>(count));
@@ -270,6 +271,7 @@
     flush();
     if (socket_ >= 0 && reading_ && !ended_) {
         ended_ = read_into(socket_, received_);
+        was_reset_ = ended_ && errno == ECONNRESET;
     }
 }
 
--- a/Tests/Relay/relay_harness.h
+++ b/Tests/Relay/relay_harness.h
@@ -99,6 +99,8 @@
     const std::string& received() const { return received_; }
     /// Whether the relay has closed the connection.
     bool ended() const { return ended_; }
+    /// Whether it did so with a TCP reset.
+    bool was_reset() const { return was_reset_; }
     /// The status of the last response whose status line has arrived; 0 if there is none.
     int status() const;
 
@@ -108,6 +110,7 @@
     int socket_ = -1;
     bool reading_ = true;
     bool ended_ = false;
+    bool was_reset_ = false;
     std::string unsent_;
     std::string received_;
 };
