Begin the answer anew when another agent's attempt answers

Cause: entry_dispatcher::dispatch starts a new assembled answer for each attempt, but the head that had been delivered and the bytes that caller_server had collected stayed, so the answer of the next attempt was appended.

Each attempt delivers its own head now, which voids what the caller server has collected; an answer that has begun to reach its caller is never followed by that of another attempt.

--- a/Source/caller_server.cpp
+++ b/Source/caller_server.cpp
@@ -345,6 +345,8 @@
                           const std::string& served_by) {
                     context->status = static_cast<int>(status);
                     context->content_type = content_type;
+                    context->body.clear();
+                    context->too_large = false;
                     context->headers = {{served_by_header, served_by}};
                     if (replayed) {
                         context->headers.push_back({replayed_header, "true"});
--- a/Source/entry_dispatcher.cpp
+++ b/Source/entry_dispatcher.cpp
@@ -154,7 +154,12 @@
 // Starts an attempt.  If the link is not yet established, on_link_welcome() sends the dispatch.
 void entry_dispatcher::dispatch(std::uint64_t sequence, open_request& open)
 {
+    if (open.sink.committed()) { // the answer of another attempt can't follow
+        finish(sequence, outcome::unknown, wire::backend_down);
+        return;
+    }
     open.sent = false;
+    open.head_delivered = false;
     open.answer = answer_assembler();
     open.acknowledged = 0;
     agent_link* link = links_.find_or_open(*directory_, open.attempts->agent());
--- a/Source/entry_dispatcher.h
+++ b/Source/entry_dispatcher.h
@@ -40,6 +40,8 @@
 
 /// Callbacks that receive the answer to one request.  Called on the event loop.
 struct answer_sink {
+    /// Begins the answer.  Called again when another attempt answers instead; then all data before
+    /// is void.
     std::function<void(unsigned status, const std::string& content_type, bool replayed,
                        const std::string& served_by)>
         on_head;
