Write the error event of a begun answer only between two events

Cause: caller_server::end_with_problem wrote its event wherever the answer had stopped. It does so now only if the answer is an event stream that stopped between two events; else the connection ends without the last chunk.

Evidence: entry_answers.get_no_error_event_inside_another_event and ..._inside_another_document failed before and pass now; are_not_continued_once_a_part_has_reached_the_caller, which passed before, keeps the error event between two events. unit_tests and the chats of fleet_tests pass.

--- a/Source/agent_job.cpp
+++ b/Source/agent_job.cpp
@@ -64,15 +64,13 @@
 
 void agent_job::append(std::string_view data)
 {
-    constexpr std::size_t blank_line_bytes = 4;
     answer.append(data);
-    answer_tail += data.substr(data.size() - std::min(data.size(), blank_line_bytes));
-    answer_tail.erase(0, answer_tail.size() - std::min(answer_tail.size(), blank_line_bytes));
+    answer_tail.append(data);
 }
 
 bool agent_job::broken_off() const
 {
-    return content_type.starts_with("text/event-stream") && ends_inside_event(answer_tail);
+    return content_type.starts_with("text/event-stream") && answer_tail.inside_event();
 }
 
 } // namespace cyclamen
--- a/Source/agent_job.h
+++ b/Source/agent_job.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "answer_buffer.h"
+#include "event_stream_splitter.h"
 #include "time_types.h"
 
 #include <wire.pb.h>
@@ -55,7 +56,7 @@
     std::string token; // token of the claim; empty if there is none
     unsigned status = 0;
     std::string content_type;
-    std::string answer_tail; // the last bytes of the answer, to tell whether it is whole
+    event_stream_tail answer_tail; // tells whether the answer is whole
     answer_buffer answer;
     std::uint64_t sent = 0;         // end offset of the bytes sent
     std::uint64_t acknowledged = 0; // end offset of the bytes acknowledged
--- a/Source/caller_server.cpp
+++ b/Source/caller_server.cpp
@@ -2,6 +2,7 @@
 
 #include "chat_request.h"
 #include "configuration_feed.h"
+#include "event_stream_splitter.h"
 #include "hashing.h"
 #include "idempotency_key.h"
 #include "problem_document.h"
@@ -61,6 +62,7 @@
     int status = 0;
     std::string content_type;
     std::string body;             // response body, buffered unless it is streamed
+    event_stream_tail sent_tail;  // of the bytes sent, if the response is streamed
     std::size_t unsent_bytes = 0; // streamed bytes since the connection was last drained
     std::vector<http_header> headers;
     std::uint64_t handle = 0; // of the dispatcher
@@ -74,6 +76,16 @@
     request_context(const request_context&) = delete;
     request_context& operator=(const request_context&) = delete;
     ~request_context() { registry->erase(this); }
+
+    response_stage stage() const
+    {
+        if (!response_started) {
+            return response_stage::not_begun;
+        }
+        const bool between_events =
+            content_type.starts_with("text/event-stream") && !sent_tail.inside_event();
+        return between_events ? response_stage::between_events : response_stage::begun;
+    }
 };
 
 caller_server::caller_server(kernel& core, caller_server_options options)
@@ -120,20 +132,22 @@
             continue; // ended when another request was abandoned
         }
         const exchange caller = context->caller;
-        const bool response_started = context->response_started;
+        const response_stage stage = context->stage();
         dispatcher_->abandon(context->handle); // destroys the context
-        end_with_problem(caller, response_started, problem);
+        end_with_problem(caller, stage, problem);
     }
 }
 
-void caller_server::end_with_problem(const exchange& caller, bool response_started,
+void caller_server::end_with_problem(const exchange& caller, response_stage stage,
                                      const problem_document& problem) const
 {
-    if (!response_started) {
+    if (stage == response_stage::not_begun) {
         send_problem(caller, problem);
         return;
     }
-    caller->write("data: {\"error\":" + problem.text() + "}\n\n");
+    if (stage == response_stage::between_events) {
+        caller->write("data: {\"error\":" + problem.text() + "}\n\n");
+    }
     // Omits the final chunk, so that the caller sees an incomplete response.
     caller->abort();
 }
@@ -368,6 +382,7 @@
                                                       context->headers);
                     }
                     context->unsent_bytes += data.size();
+                    context->sent_tail.append(data);
                     context->caller->write(data);
                 },
             .on_end =
@@ -381,7 +396,7 @@
                                       context->headers);
                     }
                     else {
-                        end_with_problem(caller, context->response_started,
+                        end_with_problem(caller, context->stage(),
                                          problem_document::of(end.result, end.reason));
                     }
                 },
--- a/Source/caller_server.h
+++ b/Source/caller_server.h
@@ -50,11 +50,17 @@
 private:
     using exchange = std::shared_ptr<http_exchange>;
     struct request_context;
+    /// How much a caller has of its response.
+    enum class response_stage {
+        not_begun,
+        between_events, // of an event stream
+        begun           // at a point where only the rest of the response can follow
+    };
 
     void close_listener();
     /// Ends the open requests with the outcome `unknown`.
     void end_open_requests();
-    void end_with_problem(const exchange& caller, bool response_started,
+    void end_with_problem(const exchange& caller, response_stage stage,
                           const problem_document& problem) const;
     void on_request(const exchange& caller);
     void on_chat_completion(const exchange& caller, const std::string& account);
--- a/Source/event_stream_splitter.cpp
+++ b/Source/event_stream_splitter.cpp
@@ -35,6 +35,13 @@
            !tail.ends_with("\r\n\r\n");
 }
 
+void event_stream_tail::append(std::string_view data)
+{
+    constexpr std::size_t blank_line_bytes = 4;
+    bytes_ += data.substr(data.size() - std::min(data.size(), blank_line_bytes));
+    bytes_.erase(0, bytes_.size() - std::min(bytes_.size(), blank_line_bytes));
+}
+
 std::string_view event_stream_splitter::feed(std::string_view data)
 {
     const std::size_t searched = partial_.size();
--- a/Source/event_stream_splitter.h
+++ b/Source/event_stream_splitter.h
@@ -9,6 +9,17 @@
 /// inside an event.
 bool ends_inside_event(std::string_view tail);
 
+/// The last bytes of an event stream that is passed on as it comes.
+class event_stream_tail {
+public:
+    void append(std::string_view data);
+    /// Whether the stream ends inside an event if it ends here.
+    bool inside_event() const { return ends_inside_event(bytes_); }
+
+private:
+    std::string bytes_;
+};
+
 /// Splits a `text/event-stream` body into complete events, so that a stream that breaks off
 /// in the middle of an event can be resumed at another backend server.  Owned by one exchange.
 class event_stream_splitter {
--- a/Tests/Entries/entry_answers_test.cpp
+++ b/Tests/Entries/entry_answers_test.cpp
@@ -264,3 +264,42 @@
     EXPECT_TRUE(received.ends_with("\r\n\r\nsecond")) << received;
     EXPECT_NE(received.find("text/second"), std::string::npos) << received;
 }
+
+// Guards against an answer that goes on with that of another attempt after its caller got a part.
+TEST_F(entry_answers, are_not_continued_once_a_part_has_reached_the_caller)
+{
+    ASSERT_NO_FATAL_FAILURE(send_chat());
+    scripted_agent& first = receiver_of(1);
+    first.answer("data: a\n\n", event_stream, wire::more);
+    ASSERT_TRUE(wait_for([&] { return received.find("data: a") != std::string::npos; }));
+    first.fail();
+    ASSERT_TRUE(wait_for([&] { return ended; }));
+    EXPECT_EQ(received.find("\r\n0\r\n"), std::string::npos) << received;
+    EXPECT_NE(received.find("data: {\"error\""), std::string::npos) << received;
+}
+
+// Guards against the text of an error inside an event that the server broke off.
+TEST_F(entry_answers, get_no_error_event_inside_another_event)
+{
+    ASSERT_NO_FATAL_FAILURE(send_chat());
+    scripted_agent& agent = receiver_of(1);
+    agent.answer("data: a\n\ndata: hal", event_stream, wire::more);
+    ASSERT_TRUE(wait_for([&] { return received.find("data: hal") != std::string::npos; }));
+    agent.fail();
+    ASSERT_TRUE(wait_for([&] { return ended; }));
+    EXPECT_EQ(received.find("error"), std::string::npos) << received;
+    EXPECT_EQ(received.find("\r\n0\r\n"), std::string::npos) << received;
+}
+
+// Guards against the same inside an answer that is no event stream.
+TEST_F(entry_answers, get_no_error_event_inside_another_document)
+{
+    ASSERT_NO_FATAL_FAILURE(send_chat());
+    scripted_agent& agent = receiver_of(1);
+    agent.answer("{\"begin\":\n\n", "application/json", wire::more);
+    ASSERT_TRUE(wait_for([&] { return received.find("begin") != std::string::npos; }));
+    agent.fail();
+    ASSERT_TRUE(wait_for([&] { return ended; }));
+    EXPECT_EQ(received.find("error"), std::string::npos) << received;
+    EXPECT_EQ(received.find("\r\n0\r\n"), std::string::npos) << received;
+}
