Take a health response whose end is not marked for a sign of health

What operators would see: a backend server behind an agent that counts as down, because its health responses have neither a length nor chunks. Since such calls end as `closed`, the probe took them for lost. Only the head of the response matters to it, which has arrived whole.

--- a/Source/agent_server.cpp
+++ b/Source/agent_server.cpp
@@ -200,7 +200,7 @@
     }
 }
 
-// Probes the health of the backend server.  Without a complete response it counts as down.
+// Probes the health of the backend server.  It counts as down unless its response has a whole head.
 void agent_server::query_health(std::function<void(backend_health)> on_health)
 {
     fetcher_.fetch({.server = options_.backend.backend,
@@ -212,8 +212,9 @@
                     .timeout = probe_timeout},
                    [on_health = std::move(on_health)](const http_response& response) {
                        backend_health health;
-                       health.up =
-                           response.end == http_call_result::complete && response.status == http_ok;
+                       const bool whole_head = response.end == http_call_result::complete ||
+                                               response.end == http_call_result::closed;
+                       health.up = whole_head && response.status == http_ok;
                        const auto body = nlohmann::json::parse(response.body, nullptr, false);
                        health.cold = health.up && body.is_object() && body.contains("cold") &&
                                      body["cold"] == true;
--- a/Tests/Relay/unproven_answers_test.cpp
+++ b/Tests/Relay/unproven_answers_test.cpp
@@ -83,3 +83,21 @@
     EXPECT_NE(caller.received().find("id: 2\n\n"), std::string::npos);
     EXPECT_FALSE(marks_end(caller)) << caller.received();
 }
+
+// Guards against a success for an answer whose server stopped in the middle of its head, or
+// anywhere before its end, and closed.
+TEST_F(unproven_answers, an_answer_cut_at_any_byte_is_never_framed_as_whole)
+{
+    const std::string whole = "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nContent-Length: 4\r\n\r\nbody";
+    const std::size_t head = whole.size() - 4;
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+        scripted_caller& caller = send(post("/pay/", std::to_string(size)));
+        scripted_backend& shop = receiver_of(size + 1);
+        shop.respond(shop.requests() - 1, whole.substr(0, size));
+        shop.close(shop.requests() - 1);
+        ASSERT_TRUE(fleet.wait_for([&] { return caller.ended() || caller.status() == 502; }));
+        EXPECT_EQ(caller.status(), size < head ? 502 : 200) << size;
+        EXPECT_FALSE(caller.received().ends_with("body")) << size;
+        EXPECT_EQ(arrivals(), size + 1) << size;
+    }
+}
