Take a response without an id for no answer on a kept connection

What callers saw in systems like this one: "not run, try again" for requests that a server had run or was running (REFUSED), or such a request ran at a second server (TWICE), because a faulty server wrote an earlier refusal once more on a kept connection.

Cause: on_response_head drops a response that names another request, but took one that names none for the current request, wherever it came. On a kept connection, or after a dropped response, it may belong to any. Such a response proves nothing now, whatever its status: the attempt is lost and the connection closed. So that servers which name no requests, and callers whose requests have no id, are served as before, their connections are not kept.

--- a/Source/backend_connection_pool.cpp
+++ b/Source/backend_connection_pool.cpp
@@ -26,6 +26,11 @@
             return std::move(pooled.connection);
         }
     }
+    return open(address);
+}
+
+std::unique_ptr<client_connection> backend_connection_pool::open(const net_address& address)
+{
     ++core_.metrics().named("backend_connections_opened");
     return std::make_unique<client_connection>(core_.loop(), address, options_.connection);
 }
--- a/Source/backend_connection_pool.h
+++ b/Source/backend_connection_pool.h
@@ -36,6 +36,8 @@
     /// requests.
     std::unique_ptr<client_connection> acquire(const std::string& id, const net_address& address,
                                                bool at_most_once);
+    /// Returns a new connection to `address`.
+    std::unique_ptr<client_connection> open(const net_address& address);
     /// Returns a connection to the pool if it is reusable; closes it otherwise.
     void release(const std::string& id, std::unique_ptr<client_connection> connection);
     /// Closes connections that have exceeded their maximum idle time, are no longer reusable, or
--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -72,6 +72,7 @@
     std::size_t skipped_bytes = 0;  // by the current call
     unsigned skipped_responses = 0; // by the current call, without interim responses
     bool keep_alive = true;
+    bool close_after_call = false;
     bool no_body = false; // the current call is a HEAD request
     bool paused = false;
     bool ignore_pause = false; // while `read_arrived` runs
@@ -289,7 +290,7 @@
         const bool unread_or_unsent =
             channel != nullptr && (evbuffer_get_length(bufferevent_get_input(channel)) > 0 ||
                                    evbuffer_get_length(bufferevent_get_output(channel)) > 0);
-        if (!keep_alive || unread_or_unsent) { // also closes if the response came before the whole
+        if (!keep_alive || close_after_call || unread_or_unsent) { // also closes if the response came before the whole
                                                // request was sent
             close();
         }
@@ -460,6 +461,11 @@
     state_->cut = true;
 }
 
+void client_connection::close_after_call()
+{
+    state_->close_after_call = true;
+}
+
 void client_connection::pause_reading(bool paused)
 {
     state& self = *state_;
@@ -501,4 +507,9 @@
     return state_->response_started;
 }
 
+bool client_connection::at_first_response() const
+{
+    return state_->calls == 1 && state_->skipped_responses == 0;
+}
+
 } // namespace cyclamen
--- a/Source/client_connection.h
+++ b/Source/client_connection.h
@@ -69,8 +69,11 @@
     /// Drops the body of the current response; to be called by `on_head`. The call ends as `lost`
     /// if the body is long or takes long, and as `complete` otherwise.
     void discard_response();
-    /// Ends the call as `lost` once the handler `on_body`, which calls this, has returned.
+    /// Ends the call as `lost` once the handler `on_head` or `on_body`, which calls this, has
+    /// returned.
     void cut_response();
+    /// Closes the connection once the current call has ended.
+    void close_after_call();
     /// Pauses or resumes reading the response, so that a slow consumer does not cause unbounded
     /// buffering.
     void pause_reading(bool paused);
@@ -89,6 +92,9 @@
     std::optional<millis> keep_alive_timeout() const;
     /// True if response bytes have arrived for the current call.
     bool response_started() const;
+    /// True if no other final response can have been meant for this connection before the current
+    /// one: it is the first, on the connection's first call.
+    bool at_first_response() const;
 
     /// Called when the connection closes while it is idle. `call()` copies the handler, so it must
     /// be set before.
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -295,7 +295,9 @@
         request.length = body_.size();
     }
     const bool once = !attempts_->repeatable();
-    connection_ = context_.connections.acquire(backend_id_, server.entry.address, once);
+    connection_ = metadata_.id.empty()
+                      ? context_.connections.open(server.entry.address)
+                      : context_.connections.acquire(backend_id_, server.entry.address, once);
     log_event(event_id::backend_chosen,
               "request={} route={} prompt={:x} backend={} software={} after_event={} zone={} "
               "reason={} rank={} kept={} "
@@ -320,10 +322,20 @@
 {
     const response_metadata metadata = context_.codec.read_response(head);
     if (!metadata.id.empty() && metadata.id != metadata_.id) {
-        log_event(event_id::stray_answer, "request={} backend={} answers={}", metadata_.id,
-                  backend_id_, metadata.id);
+        log_event(event_id::stray_answer, "request={} backend={} answers={} status={}",
+                  metadata_.id, backend_id_, metadata.id, head.status);
         return false;
     }
+    if (metadata.id.empty() && !connection_->at_first_response()) {
+        log_event(event_id::stray_answer, "request={} backend={} answers=? status={}", metadata_.id,
+                  backend_id_, head.status);
+        failure_ = attempt_outcome::lost;
+        connection_->cut_response();
+        return true;
+    }
+    if (metadata.id.empty()) {
+        connection_->close_after_call(); // later responses could not be told from this one
+    }
     backend* server = context_.state.backends().find(backend_id_);
     if (server != nullptr && metadata.load) {
         context_.state.backends().record_load(*server, *metadata.load, context_.core.now());
--- a/Tests/Relay/unproven_answers_test.cpp
+++ b/Tests/Relay/unproven_answers_test.cpp
@@ -3,6 +3,7 @@
 #include "relay_harness.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 using namespace cyclamen;
 
@@ -101,3 +102,77 @@
         EXPECT_EQ(arrivals(), size + 1) << size;
     }
 }
+
+namespace {
+
+const std::string refusal = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+// Both servers have a kept connection.
+class unproven_refusals : public unproven_answers {
+protected:
+    unproven_refusals()
+    {
+        for (std::size_t count = 1; count <= shops.size(); ++count) {
+            // The connection of the first request is busy during the second one.
+            send(get("/view/"));
+            receiver_of(count);
+        }
+        for (scripted_backend* shop : shops) {
+            EXPECT_EQ(shop->requests(), 1U);
+            shop->respond(0, response_of("q1", "seen"));
+        }
+        EXPECT_TRUE(fleet.wait_for(
+            [&] { return fleet.relay().describe()["idle_backend_connections"] == 2; }));
+    }
+};
+
+} // namespace
+
+// Guards against an earlier refusal that a faulty server writes once more on a kept connection and
+// that is taken for the refusal of a request which runs: its caller was told "not run", or it ran
+// at a second server.
+TEST_F(unproven_refusals, without_an_id_on_a_kept_connection_prove_nothing)
+{
+    scripted_caller& caller = send(post("/pay/", "x"));
+    scripted_backend& shop = receiver_of(3);
+    shop.respond(1, refusal);
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.status() != 0; }));
+    EXPECT_EQ(caller.status(), 502);
+    EXPECT_EQ(arrivals(), 3U);
+    EXPECT_TRUE(fleet.wait_for([&] { return shop.closed_by_relay(1); }));
+}
+
+// Guards against the same for an earlier request's refusal that names that request.
+TEST_F(unproven_refusals, of_another_request_prove_nothing)
+{
+    scripted_caller& caller = send(post("/pay/", "x"));
+    scripted_backend& shop = receiver_of(3);
+    shop.respond(1, response_of("q0", "", 503, "Not-Executed: 1\r\n") + refusal);
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.status() != 0; }));
+    EXPECT_EQ(caller.status(), 502);
+    EXPECT_EQ(arrivals(), 3U);
+}
+
+// Guards against an answer to another request on a kept connection.
+TEST_F(unproven_refusals, as_little_as_answers_without_an_id)
+{
+    scripted_caller& caller = send(post("/pay/", "x"));
+    scripted_backend& shop = receiver_of(3);
+    shop.respond(1, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhose");
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.status() != 0; }));
+    EXPECT_EQ(caller.status(), 502);
+    EXPECT_EQ(caller.received().find("whose"), std::string::npos);
+}
+
+// A request that can't be told from others gets a connection of its own.
+TEST_F(unproven_refusals, do_not_reach_requests_without_an_id)
+{
+    scripted_caller& caller =
+        send("POST /pay/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
+             "Content-Length: 1\r\n\r\nx");
+    scripted_backend& shop = receiver_of(3);
+    EXPECT_EQ(shop.connections(), 2U);
+    shop.respond(1, refusal);
+    receiver_of(4).respond(1, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npaid");
+    EXPECT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("paid"); }));
+}
