Continue an event stream only with a 200 event stream

Cause: once the caller has the head of its response, on_response_head dropped what had a status of 500 and above or another type, but joined an event stream with any other status (404, 302, 206), and took a 204 with that type for the stream's end. Nor did it look at what had begun: a document, or an event stream with an error's status, was followed by an event stream. The type was compared by case.

Only a 200 event stream on a route with resumption can be followed now, and only by a 200 event stream; whatever else comes is `unproven`, which is no sign of a crash, and goes on elsewhere or ends the response as broken off. A document that has begun is asked for nowhere else, which saves a retry that could not be used.

--- a/Source/agent_job.cpp
+++ b/Source/agent_job.cpp
@@ -70,7 +70,7 @@
 
 bool agent_job::broken_off() const
 {
-    return content_type.starts_with("text/event-stream") && answer_tail.inside_event();
+    return is_event_stream(content_type) && answer_tail.inside_event();
 }
 
 } // namespace cyclamen
--- a/Source/caller_server.cpp
+++ b/Source/caller_server.cpp
@@ -82,8 +82,7 @@
         if (!response_started) {
             return response_stage::not_begun;
         }
-        const bool between_events =
-            content_type.starts_with("text/event-stream") && !sent_tail.inside_event();
+        const bool between_events = is_event_stream(content_type) && !sent_tail.inside_event();
         return between_events ? response_stage::between_events : response_stage::begun;
     }
 };
--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -290,8 +290,9 @@
         const bool unread_or_unsent =
             channel != nullptr && (evbuffer_get_length(bufferevent_get_input(channel)) > 0 ||
                                    evbuffer_get_length(bufferevent_get_output(channel)) > 0);
-        if (!keep_alive || close_after_call || unread_or_unsent) { // also closes if the response came before the whole
-                                               // request was sent
+        if (!keep_alive || close_after_call ||
+            unread_or_unsent) { // also closes if the response came before the whole
+                                // request was sent
             close();
         }
         else if (paused) { // the response has arrived whole, only its consumer is slow
--- a/Source/direct_attempts.h
+++ b/Source/direct_attempts.h
@@ -12,6 +12,7 @@
     rejected, // the server reported that the request did not run
     failed,   // the server responded with an error
     lost,     // the response is missing or truncated: the request may have run
+    unproven, // the response proves nothing about the request, which may have run
 };
 
 inline constexpr std::array attempt_outcome_names{
@@ -19,6 +20,7 @@
     enum_name<attempt_outcome>{attempt_outcome::rejected, "rejected"},
     enum_name<attempt_outcome>{attempt_outcome::failed, "failed"},
     enum_name<attempt_outcome>{attempt_outcome::lost, "lost"},
+    enum_name<attempt_outcome>{attempt_outcome::unproven, "unproven"},
 };
 
 /// What to do with the request after an unsuccessful attempt.
--- a/Source/event_stream_splitter.cpp
+++ b/Source/event_stream_splitter.cpp
@@ -1,5 +1,7 @@
 #include "event_stream_splitter.h"
 
+#include "http_message.h"
+
 #include <algorithm>
 
 namespace cyclamen {
@@ -29,6 +31,15 @@
 
 } // namespace
 
+bool is_event_stream(std::string_view content_type)
+{
+    std::string_view type = content_type.substr(0, content_type.find(';'));
+    while (type.ends_with(' ') || type.ends_with('\t')) {
+        type.remove_suffix(1);
+    }
+    return header_names_equal(type, "text/event-stream");
+}
+
 bool ends_inside_event(std::string_view tail)
 {
     return tail.find_first_not_of("\r\n") != std::string_view::npos && !tail.ends_with("\n\n") &&
--- a/Source/event_stream_splitter.h
+++ b/Source/event_stream_splitter.h
@@ -5,6 +5,8 @@
 
 namespace cyclamen {
 
+/// Whether a Content-Type names an event stream.
+bool is_event_stream(std::string_view content_type);
 /// Whether an event stream whose last bytes are `tail` (four or more, if there are as many) ends
 /// inside an event.
 bool ends_inside_event(std::string_view tail);
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 
+constexpr int http_ok = 200;
 constexpr int first_redirection = 300;
 constexpr int first_server_error = 500;
 constexpr int misdirected = 421;
@@ -26,9 +27,9 @@
 // Parts of a prompt that are examined when servers crash; prompts have a few.
 constexpr std::size_t max_suspect_parts = 64;
 
-bool is_event_stream(const http_head& head)
+bool has_event_stream(const http_head& head)
 {
-    return head.header_or("Content-Type", "").starts_with("text/event-stream");
+    return is_event_stream(head.header_or("Content-Type", ""));
 }
 
 } // namespace
@@ -329,7 +330,7 @@
     if (metadata.id.empty() && !connection_->at_first_response()) {
         log_event(event_id::stray_answer, "request={} backend={} answers=? status={}", metadata_.id,
                   backend_id_, head.status);
-        failure_ = attempt_outcome::lost;
+        failure_ = attempt_outcome::unproven;
         connection_->cut_response();
         return true;
     }
@@ -348,8 +349,8 @@
         return true;
     }
     const bool failed = head.status >= first_server_error;
-    if (response_head_sent_ && (failed || !is_event_stream(head))) {
-        discard_response(attempt_outcome::lost); // it does not continue the event stream
+    if (response_head_sent_ && (head.status != http_ok || !has_event_stream(head))) {
+        discard_response(attempt_outcome::unproven); // it does not continue the event stream
         return true;
     }
     if (failed && attempts_->repeatable() && !last_look_) {
@@ -373,7 +374,7 @@
 void relay_exchange::begin_caller_response(const http_head& head)
 {
     status_ = head.status;
-    mode_ = is_event_stream(head) ? body_mode::events : body_mode::pass;
+    mode_ = has_event_stream(head) ? body_mode::events : body_mode::pass;
     if (response_head_sent_) {
         return;
     }
@@ -388,7 +389,9 @@
 {
     http_head response = head;
     remove_hop_by_hop_headers(response, {});
-    if (mode_ == body_mode::events && route_->resumable && response.length) {
+    resumable_response_ =
+        mode_ == body_mode::events && route_->resumable && response.status == http_ok;
+    if (resumable_response_ && response.length) {
         response.length.reset(); // another server may send the rest of the stream
         response.chunked = true;
     }
@@ -446,6 +449,12 @@
     }
 }
 
+// Whether the response of another server may follow what the caller has of the response.
+bool relay_exchange::can_be_followed() const
+{
+    return !response_head_sent_ || resumable_response_;
+}
+
 // A response that ended with its connection may be whole or not.  It is delivered if the caller's
 // response ends in the same way, unless it ends inside an event.
 bool relay_exchange::is_broken_off(http_call_result outcome) const
@@ -509,6 +518,10 @@
 
 void relay_exchange::handle_failed_attempt(attempt_outcome outcome)
 {
+    if (!can_be_followed()) {
+        give_up(std::string(name_of(attempt_outcome_names, outcome)));
+        return;
+    }
     // For an error response, `on_response_head` has already consulted `attempts_`, which decided to
     // retry.
     const attempt_action step = outcome == attempt_outcome::failed
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -96,6 +96,7 @@
     std::string_view ready_events(std::string_view data);
     void on_response_body(std::string_view data);
     void forward_body(std::string_view ready);
+    bool can_be_followed() const;
     bool is_broken_off(http_call_result outcome) const;
     void on_call_end(http_call_result end);
     void handle_failed_attempt(attempt_outcome end);
@@ -153,9 +154,10 @@
     std::optional<attempt_outcome> failure_; // set if the response head reports a failure
     event_stream_splitter events_;
     bool response_head_sent_ = false;
+    bool resumable_response_ = false; // an event stream that another server may continue
     bool first_byte_seen_ = false;
     std::optional<http_call_result> call_end_; // of the latest attempt
-    int status_ = 0;                   // status sent to the caller; 0 before that
+    int status_ = 0;                           // status sent to the caller; 0 before that
     bool ended_ = false;
     // Callbacks of the search for a stream's origin hold a weak reference.
     std::shared_ptr<relay_exchange*> self_ = std::make_shared<relay_exchange*>(this);
--- a/Tests/Relay/unproven_answers_test.cpp
+++ b/Tests/Relay/unproven_answers_test.cpp
@@ -176,3 +176,98 @@
     receiver_of(4).respond(1, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npaid");
     EXPECT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("paid"); }));
 }
+
+namespace {
+
+struct follower {
+    const char* name;
+    std::string response; // of the server that is to continue the stream
+};
+
+void PrintTo(const follower& row, std::ostream* out)
+{
+    *out << row.name;
+}
+
+// A stream that broke off after its event with the id 1, and what the next server answers.
+class unproven_continuations : public unproven_answers,
+                               public testing::WithParamInterface<follower> {
+protected:
+    scripted_caller& begin_and_break_off(const std::string& begun)
+    {
+        scripted_caller& caller = send(post("/resume/", "x"));
+        scripted_backend& first = receiver_of(1);
+        first.respond(0, begun);
+        first.reset(0);
+        return caller;
+    }
+};
+
+std::string stream_of(const std::string& status, const std::string& headers,
+                      const std::string& events)
+{
+    return "HTTP/1.1 " + status + "\r\nAttempt-Id: q1\r\n" + headers +
+           "Content-Length: " + std::to_string(events.size()) + "\r\n\r\n" + events;
+}
+
+const std::string stream_type = "Content-Type: text/event-stream\r\n";
+
+} // namespace
+
+// Guards against a stream whose middle holds an error's text, events of another stream or events
+// that came before, or that ends as if it were complete.
+TEST_P(unproven_continuations, do_not_follow_a_stream_that_broke_off)
+{
+    scripted_caller& caller = begin_and_break_off(chunked_stream);
+    scripted_backend& second = receiver_of(2);
+    second.respond(0, GetParam().response);
+    await_end(caller);
+    EXPECT_TRUE(caller.received().ends_with("7\r\nid: 1\n\n\r\n")) << caller.received();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    relay, unproven_continuations,
+    testing::Values(
+        follower{"error", stream_of("500 Oops", "", "oops")},
+        follower{"error_stream", stream_of("500 Oops", stream_type, "id: 2\ndata: oops\n\n")},
+        follower{"gone_stream", stream_of("404 None", stream_type, "id: 2\ndata: oops\n\n")},
+        follower{"moved_stream", stream_of("302 Moved", stream_type, "id: 2\ndata: oops\n\n")},
+        follower{"partial_stream", stream_of("206 Part", stream_type, "id: 2\ndata: oops\n\n")},
+        follower{"no_content", "HTTP/1.1 204 None\r\nAttempt-Id: q1\r\n" + stream_type + "\r\n"},
+        follower{"document", stream_of("200 OK", "Content-Type: text/plain\r\n", "oops")},
+        follower{"no_type", stream_of("200 OK", "", "id: 2\ndata: oops\n\n")},
+        follower{"rejection", stream_of("503 Full", "Not-Executed: 1\r\n", "")},
+        follower{"misdirected_stream", stream_of("421 No", stream_type, "id: 2\ndata: oops\n\n")}),
+    [](const testing::TestParamInfo<follower>& row) { return row.param.name; });
+
+// Guards against a document that goes on as an event stream.
+TEST_F(unproven_continuations, are_not_asked_for_unless_the_answer_is_an_event_stream)
+{
+    for (const std::string& begun :
+         {std::string("HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nContent-Length: 9\r\n\r\nhalf"),
+          std::string("HTTP/1.1 404 None\r\nAttempt-Id: q1\r\n") + stream_type +
+              "Transfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n"}) {
+        const std::size_t before = arrivals();
+        scripted_caller& caller = send(post("/resume/", "x"));
+        scripted_backend& shop = receiver_of(before + 1);
+        shop.respond(shop.requests() - 1, begun);
+        ASSERT_TRUE(fleet.wait_for(
+            [&] { return caller.received().find("\r\n\r\n") != std::string::npos; }));
+        shop.reset(shop.requests() - 1);
+        await_end(caller);
+        EXPECT_EQ(arrivals(), before + 1) << begun;
+    }
+}
+
+// Guards against a look-up that is sent to a second server after a part of its answer was passed
+// on.
+TEST_F(unproven_answers, a_document_that_broke_off_is_not_asked_for_again)
+{
+    scripted_caller& caller = send(get("/view/"));
+    scripted_backend& shop = receiver_of(1);
+    shop.respond(0, "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nContent-Length: 9\r\n\r\nhalf");
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("half"); }));
+    shop.reset(0);
+    await_end(caller);
+    EXPECT_EQ(arrivals(), 1U);
+}
