Continue a stream only where it broke off

Cause: the events of the next server were joined whatever their ids were; and a stream whose last event had no id was continued after an earlier one, so that the last came twice. The splitter notes now whether the last event has an id and whether the first event of a continuation comes after it; if not, the attempt is `unproven` and nothing of it is passed on.

Evidence: unproven_continuations.* with repeated_event, begun_anew and unnamed_event, and the stream without an id in are_not_asked_for_unless_the_answer_is_an_event_stream, failed before. relay_tests pass.

--- a/Source/event_stream_splitter.cpp
+++ b/Source/event_stream_splitter.cpp
@@ -3,6 +3,9 @@
 #include "http_message.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <utility>
 
 namespace cyclamen {
 
@@ -24,6 +27,25 @@
     return end;
 }
 
+std::optional<std::uint64_t> parse_number(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, value);
+    return error == std::errc() && stop == end ? std::optional(value) : std::nullopt;
+}
+
+// Whether an event with this id can come after the event `before`.  Numbers increase.
+bool follows(std::string_view id, std::string_view before)
+{
+    const auto number = parse_number(id);
+    const auto number_before = parse_number(before);
+    if (number && number_before) {
+        return *number > *number_before;
+    }
+    return !id.empty() && id != before;
+}
+
 std::string_view strip_leading_space(std::string_view text)
 {
     return text.starts_with(' ') ? text.substr(1) : text;
@@ -60,24 +82,54 @@
     const std::size_t end = end_of_complete_events(partial_, searched);
     complete_events_.assign(partial_, 0, end);
     partial_.erase(0, end);
-    update_last_id(complete_events_);
+    std::string_view lines = complete_events_;
+    while (!lines.empty()) {
+        const std::size_t line_end = std::min(lines.find('\n'), lines.size());
+        std::string_view line = lines.substr(0, line_end);
+        lines.remove_prefix(std::min(line_end + 1, lines.size()));
+        if (line.ends_with('\r')) {
+            line.remove_suffix(1);
+        }
+        note_line(line);
+    }
     return complete_events_;
 }
 
-void event_stream_splitter::update_last_id(std::string_view events)
+void event_stream_splitter::restart()
+{
+    partial_.clear();
+    continues_ = true;
+    id_to_follow_.reset();
+    if (!last_id_.empty()) {
+        id_to_follow_ = last_id_;
+    }
+}
+
+void event_stream_splitter::note_line(std::string_view line)
 {
     constexpr std::string_view field = "id:";
-    while (!events.empty()) {
-        const std::size_t end = std::min(events.find('\n'), events.size());
-        std::string_view line = events.substr(0, end);
-        events.remove_prefix(std::min(end + 1, events.size()));
-        if (line.ends_with('\r')) {
-            line.remove_suffix(1);
-        }
-        if (line.starts_with(field)) {
-            last_id_ = strip_leading_space(line.substr(field.size()));
-        }
+    if (line.empty()) {
+        note_event();
+        return;
+    }
+    event_has_data_ = event_has_data_ || line.starts_with("data");
+    if (line.starts_with(field)) {
+        event_id_ = strip_leading_space(line.substr(field.size()));
+    }
+}
+
+void event_stream_splitter::note_event()
+{
+    const std::string id = std::exchange(event_id_, {});
+    const bool has_data = std::exchange(event_has_data_, false);
+    if (id.empty() && !has_data) {
+        return; // a comment
+    }
+    if (const auto before = std::exchange(id_to_follow_, std::nullopt)) {
+        continues_ = follows(id, *before);
     }
+    last_event_named_ = !id.empty();
+    last_id_ = id.empty() ? last_id_ : id;
 }
 
 } // namespace cyclamen
--- a/Source/event_stream_splitter.h
+++ b/Source/event_stream_splitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -30,8 +31,14 @@
     /// next call.
     std::string_view feed(std::string_view data);
     /// Prepares for the stream of another attempt: discards an incomplete event.
-    void restart() { partial_.clear(); }
-
+    void restart();
+
+    /// Whether the stream may be continued after `last_id()`: there was no event, or the last one
+    /// has an id.
+    bool resumable() const { return last_event_named_; }
+    /// False if the stream of another attempt does not begin after the last event before it: its
+    /// first event has no id, the same id or a lower number.
+    bool continues() const { return continues_; }
     /// The most recent `id` field in the complete events; empty if there was none.
     const std::string& last_id() const { return last_id_; }
     /// The bytes received of an event that is not complete yet.
@@ -40,11 +47,17 @@
     bool inside_event() const { return partial_.find_first_not_of("\r\n") != std::string::npos; }
 
 private:
-    void update_last_id(std::string_view events);
+    void note_line(std::string_view line);
+    void note_event();
 
     std::string complete_events_;
     std::string partial_;
     std::string last_id_;
+    std::string event_id_; // of the event whose lines are being read
+    bool event_has_data_ = false;
+    bool last_event_named_ = true;
+    std::optional<std::string> id_to_follow_; // set until the first event after `restart`
+    bool continues_ = true;
 };
 
 } // namespace cyclamen
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -405,6 +405,12 @@
 std::string_view relay_exchange::ready_events(std::string_view data)
 {
     const std::string_view complete = events_.feed(data);
+    if (!events_.continues()) {
+        failure_ = attempt_outcome::unproven;
+        mode_ = body_mode::discard;
+        connection_->cut_response();
+        return {};
+    }
     if (events_.partial().size() <= context_.options.max_event) {
         return complete;
     }
@@ -452,7 +458,7 @@
 // Whether the response of another server may follow what the caller has of the response.
 bool relay_exchange::can_be_followed() const
 {
-    return !response_head_sent_ || resumable_response_;
+    return !response_head_sent_ || (resumable_response_ && events_.resumable());
 }
 
 // A response that ended with its connection may be whole or not.  It is delivered if the caller's
--- a/Tests/Relay/unproven_answers_test.cpp
+++ b/Tests/Relay/unproven_answers_test.cpp
@@ -237,7 +237,11 @@
         follower{"document", stream_of("200 OK", "Content-Type: text/plain\r\n", "oops")},
         follower{"no_type", stream_of("200 OK", "", "id: 2\ndata: oops\n\n")},
         follower{"rejection", stream_of("503 Full", "Not-Executed: 1\r\n", "")},
-        follower{"misdirected_stream", stream_of("421 No", stream_type, "id: 2\ndata: oops\n\n")}),
+        follower{"misdirected_stream", stream_of("421 No", stream_type, "id: 2\ndata: oops\n\n")},
+        follower{"repeated_event", stream_of("200 OK", stream_type, "id: 1\ndata: again\n\n")},
+        follower{"begun_anew",
+                 stream_of("200 OK", stream_type, "id: 0\ndata: again\n\nid: 1\ndata: again\n\n")},
+        follower{"unnamed_event", stream_of("200 OK", stream_type, "data: which\n\nid: 2\n\n")}),
     [](const testing::TestParamInfo<follower>& row) { return row.param.name; });
 
 // Guards against a document that goes on as an event stream.
@@ -246,7 +250,10 @@
     for (const std::string& begun :
          {std::string("HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nContent-Length: 9\r\n\r\nhalf"),
           std::string("HTTP/1.1 404 None\r\nAttempt-Id: q1\r\n") + stream_type +
-              "Transfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n"}) {
+              "Transfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n",
+          // An event without an id would come twice.
+          std::string("HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\n") + stream_type +
+              "Transfer-Encoding: chunked\r\n\r\n10\r\nid: 1\n\ndata: a\n\n\r\n"}) {
         const std::size_t before = arrivals();
         scripted_caller& caller = send(post("/resume/", "x"));
         scripted_backend& shop = receiver_of(before + 1);
