Take a stream that ends inside an event for broken off, also with a marked end

What callers would see: a stream framed as complete whose last event is cut. The relay checked that only where the connection was the end; with a length or a last chunk it passed the half event on and ended the response.

Agents checked all ends already.

--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -461,15 +461,17 @@
     return !response_head_sent_ || (resumable_response_ && events_.resumable());
 }
 
-// A response that ended with its connection may be whole or not.  It is delivered if the caller's
-// response ends in the same way, unless it ends inside an event.
+// Whether a response that has ended is not whole.  One that ended with its connection may be whole
+// or not; it is delivered if the caller's response ends in the same way.
 bool relay_exchange::is_broken_off(http_call_result outcome) const
 {
+    if (mode_ == body_mode::events && events_.inside_event()) {
+        return true;
+    }
     if (outcome != http_call_result::closed) {
         return outcome == http_call_result::lost;
     }
-    return (mode_ == body_mode::events && events_.inside_event()) ||
-           (response_head_sent_ && !caller_->ends_with_connection());
+    return response_head_sent_ && !caller_->ends_with_connection();
 }
 
 void relay_exchange::on_call_end(http_call_result outcome)
--- a/Tests/Relay/unproven_answers_test.cpp
+++ b/Tests/Relay/unproven_answers_test.cpp
@@ -241,7 +241,8 @@
         follower{"repeated_event", stream_of("200 OK", stream_type, "id: 1\ndata: again\n\n")},
         follower{"begun_anew",
                  stream_of("200 OK", stream_type, "id: 0\ndata: again\n\nid: 1\ndata: again\n\n")},
-        follower{"unnamed_event", stream_of("200 OK", stream_type, "data: which\n\nid: 2\n\n")}),
+        follower{"unnamed_event", stream_of("200 OK", stream_type, "data: which\n\nid: 2\n\n")},
+        follower{"no_whole_event", stream_of("200 OK", stream_type, "id: 2\ndata: oo")}),
     [](const testing::TestParamInfo<follower>& row) { return row.param.name; });
 
 // Guards against a document that goes on as an event stream.
@@ -278,3 +279,13 @@
     await_end(caller);
     EXPECT_EQ(arrivals(), 1U);
 }
+
+// Guards against a stream that a mark of its end makes look complete although it ends inside an
+// event.
+TEST_F(unproven_answers, a_marked_end_inside_an_event_is_no_end)
+{
+    scripted_caller& caller = send(post("/tell/", "x"));
+    receiver_of(1).respond(0, chunked_stream + "0\r\n\r\n");
+    await_end(caller);
+    EXPECT_TRUE(caller.received().ends_with("7\r\nid: 1\n\n\r\n")) << caller.received();
+}
