Pass on no promise that a status alone makes

What callers would see: 408, 429 or 503, by which this interface promises that a request has not run and never will, for a payment or a stream that its server may have run (REFUSED), and then a retry that runs it twice.

Cause: a server's response without a proof was forwarded with its status whatever that was. For requests that may run once only, such a response is `unproven` now and the caller gets 502, which promises nothing.

--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -18,7 +18,9 @@
 constexpr int http_ok = 200;
 constexpr int first_redirection = 300;
 constexpr int first_server_error = 500;
+constexpr int request_timeout = 408;
 constexpr int misdirected = 421;
+constexpr int too_many_requests = 429;
 constexpr int bad_gateway = 502;
 constexpr int unavailable = 503;
 constexpr int gateway_timeout = 504;
@@ -27,6 +29,12 @@
 // Parts of a prompt that are examined when servers crash; prompts have a few.
 constexpr std::size_t max_suspect_parts = 64;
 
+// Statuses by which a response tells its caller that the request has not run and never will.
+bool promises_not_run(int status)
+{
+    return status == request_timeout || status == too_many_requests || status == unavailable;
+}
+
 bool has_event_stream(const http_head& head)
 {
     return is_event_stream(head.header_or("Content-Type", ""));
@@ -348,6 +356,10 @@
         discard_response(attempt_outcome::rejected);
         return true;
     }
+    if (!attempts_->repeatable() && promises_not_run(head.status)) {
+        discard_response(attempt_outcome::unproven);
+        return true;
+    }
     const bool failed = head.status >= first_server_error;
     if (response_head_sent_ && (head.status != http_ok || !has_event_stream(head))) {
         discard_response(attempt_outcome::unproven); // it does not continue the event stream
--- a/Tests/Relay/unproven_answers_test.cpp
+++ b/Tests/Relay/unproven_answers_test.cpp
@@ -289,3 +289,19 @@
     await_end(caller);
     EXPECT_TRUE(caller.received().ends_with("7\r\nid: 1\n\n\r\n")) << caller.received();
 }
+
+// Guards against a promise that a request has not run, made by a status alone.
+TEST_F(unproven_answers, a_status_without_a_proof_promises_nothing)
+{
+    std::size_t count = 0;
+    for (const int status : {408, 429, 503}) {
+        scripted_caller& caller = send(post("/pay/", std::to_string(status)));
+        scripted_backend& shop = receiver_of(++count);
+        shop.respond(shop.requests() - 1,
+                     response_of("q1", "", status, "Server-Signature: s\r\nRetry-After: 9\r\n"));
+        ASSERT_TRUE(fleet.wait_for([&] { return caller.status() != 0; }));
+        EXPECT_EQ(caller.status(), 502) << status;
+        EXPECT_EQ(caller.received().find("Server-Signature"), std::string::npos);
+        EXPECT_EQ(arrivals(), count);
+    }
+}
