End the streams of the recording backend server between two events

entry_process.loses_no_request_of_callers_that_use_their_connections_while_it_stops failed since a stream that ends inside an event counts as broken off: the test's own server ended its streams with the line "end" and no blank line, which the users' pages now call broken off. It sends the blank line now, and the caller asks for it in streams, so the check is as strict as before. The test passes.

--- a/Tests/EntryProcess/entry_caller.cpp
+++ b/Tests/EntryProcess/entry_caller.cpp
@@ -231,7 +231,8 @@
             return;
         }
     }
-    const bool from_backend = same_attempt && body.ends_with("\nend\n");
+    const std::string_view end = request.kind == "stream" ? "\nend\n\n" : "\nend\n";
+    const bool from_backend = same_attempt && body.ends_with(end);
     request.end = request.status == 200 && !from_backend ? call_end::malformed : call_end::answered;
 }
 
--- a/Tests/EntryProcess/recording_backend.cpp
+++ b/Tests/EntryProcess/recording_backend.cpp
@@ -65,7 +65,7 @@
     }
     const auto left = std::chrono::duration_cast<millis>(end - test_clock::now());
     if (left <= 0ms) {
-        caller->write("id: 2\ndata: last\n\n:\nend\n");
+        caller->write("id: 2\ndata: last\n\n:\nend\n\n");
         caller->end_stream();
         return;
     }
