Let no timer expire before its time

Cause: libevent's timers read CLOCK_MONOTONIC_COARSE, which advances by the tick of the operating system's kernel, 4 ms on this machine (250 Hz) and 1 ms on machines with 1000 Hz. A timer could expire up to a tick early by the clock that the program compares with. A timer that expires early waits for the rest now.

--- a/Source/kernel.cpp
+++ b/Source/kernel.cpp
@@ -8,6 +8,7 @@
 
 #include <csignal>
 #include <ctime>
+#include <optional>
 #include <stdexcept>
 
 namespace cyclamen {
@@ -36,10 +37,19 @@
     }
 }
 
+millis time_since_boot()
+{
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::duration_cast<millis>(std::chrono::seconds(time.tv_sec) +
+                                              std::chrono::nanoseconds(time.tv_nsec));
+}
+
 } // namespace
 
 struct kernel::timer::state {
     event* handle = nullptr;
+    std::optional<millis> due; // of a timer that does not repeat
     std::function<void()> action;
 
     state() = default;
@@ -54,8 +64,16 @@
 
     static void fire(evutil_socket_t /*socket*/, short /*what*/, void* user)
     {
+        const auto* self = static_cast<state*>(user);
+        // libevent reads a clock that advances by the kernel's tick, which may be several ms.
+        const millis early = self->due ? *self->due - time_since_boot() : 0ms;
+        if (early > 0ms) {
+            const timeval rest = to_timeval(early);
+            event_add(self->handle, &rest);
+            return;
+        }
         // The action may destroy the timer and with it the stored function, so a copy is called.
-        const std::function<void()> action = static_cast<state*>(user)->action;
+        const std::function<void()> action = self->action;
         action();
     }
 };
@@ -66,6 +84,9 @@
     state_->action = std::move(action);
     const auto flags = static_cast<short>(repeat ? EV_PERSIST : 0);
     state_->handle = event_new(loop, -1, flags, &state::fire, state_.get());
+    if (!repeat) {
+        state_->due = time_since_boot() + interval;
+    }
     const timeval delay = to_timeval(interval);
     // libevent counts a timer from the start of the loop's iteration, which may be long ago.
     event_base_update_cache_time(loop);
@@ -173,10 +194,7 @@
 
 millis kernel::now() const
 {
-    timespec time{};
-    clock_gettime(CLOCK_BOOTTIME, &time);
-    return std::chrono::duration_cast<millis>(std::chrono::seconds(time.tv_sec) +
-                                              std::chrono::nanoseconds(time.tv_nsec));
+    return time_since_boot();
 }
 
 std::string kernel::metrics_text() const
