Log what backend servers say of themselves

The headers by which a server says that it leaves or wants rest are decoded at the platform's boundary and recorded by incarnation, from each response (also refused, stray and dropped ones); events 1819 and 1820 and the state dump show them.

--- a/Source/backend_table.cpp
+++ b/Source/backend_table.cpp
@@ -31,11 +31,6 @@
     return has_restarted(now) || now - lost_at < restart_time;
 }
 
-std::uint64_t backend::incarnation() const
-{
-    return combine_hashes(combine_hashes(hash, entry.started_at), hash_of(entry.address.text()));
-}
-
 backend_table::put_result backend_table::put(const backend_entry& entry, millis now)
 {
     std::unique_ptr<backend>& stored = servers_[entry.id];
@@ -60,6 +55,10 @@
         stored->peer_in_flight = peer_sum == peer_in_flight_sums_.end() ? 0 : peer_sum->second;
         stored->in_flight = in_flight; // requests to the old incarnation still decrement it
     }
+    if (is_new) {
+        stored->incarnation_hash = combine_hashes(combine_hashes(stored->hash, entry.started_at),
+                                                  hash_of(entry.address.text()));
+    }
     const bool pool_changed = is_new || stored->entry.service != entry.service;
     stored->entry = entry;
     if (pool_changed) {
--- a/Source/backend_table.h
+++ b/Source/backend_table.h
@@ -2,6 +2,7 @@
 
 #include "backend_health.h"
 #include "relay_configuration.h"
+#include "server_words.h"
 #include "start_rate_limit.h"
 
 #include <cstdint>
@@ -39,7 +40,8 @@
 struct backend {
     backend_entry entry;
     std::uint64_t hash = 0; // hash of the server's id, for placement
-    millis listed_at{0};    // time at which `entry` was last read
+    std::uint64_t incarnation_hash = 0;
+    millis listed_at{0}; // time at which `entry` was last read
     millis cold_until{0};
     bool missing = false;              // `entry` expired during an outage of its source
     unsigned in_flight = 0;            // requests from this entry process
@@ -64,7 +66,7 @@
     /// Whether that is possible.
     bool may_have_restarted(millis now) const;
     /// Hash that identifies this incarnation of the server on all entries.
-    std::uint64_t incarnation() const;
+    std::uint64_t incarnation() const { return incarnation_hash; }
 };
 
 struct backend_table_options {
@@ -164,6 +166,10 @@
     /// Sum of the outcome counts that peers reported for a server.
     backend_health peer_outcomes(const backend& server, millis now) const;
 
+    /// What the servers have said of themselves.
+    server_words& words() { return words_; }
+    const server_words& words() const { return words_; }
+
     const std::map<std::string, std::unique_ptr<backend>>& all() const { return servers_; }
 
 private:
@@ -183,6 +189,7 @@
     // By peer, then by server.
     std::map<std::string, std::unordered_map<std::uint32_t, backend_health>> peer_outcomes_;
     std::set<std::string> disabled_zones_;
+    server_words words_;
     bool source_down_ = false;
     millis grace_until_{0}; // end of the grace period after the last source outage
 };
--- a/Source/event_log.cpp
+++ b/Source/event_log.cpp
@@ -160,6 +160,8 @@
         {event_id::records_from_peer, severity::info, "records_from_peer"},
         {event_id::log_restored, severity::warning, "log_restored"},
         {event_id::origins_read, severity::info, "origins_read"},
+        {event_id::backend_leaving, severity::info, "backend_leaving"},
+        {event_id::backend_resting, severity::info, "backend_resting"},
     }};
     return catalogue;
 }
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -76,6 +76,8 @@
     records_from_peer = 1816,
     log_restored = 1817,
     origins_read = 1818,
+    backend_leaving = 1819,
+    backend_resting = 1820,
 };
 
 /// Number, severity and name of an event.
@@ -85,7 +87,7 @@
     std::string_view name;
 };
 
-inline constexpr std::size_t event_count = 55;
+inline constexpr std::size_t event_count = 57;
 
 /// Catalogue of all events, sorted by number.
 const std::array<event_description, event_count>& event_catalogue();
--- a/Source/header_codec.h
+++ b/Source/header_codec.h
@@ -49,6 +49,10 @@
     std::optional<backend_load> load;
     // Requests per second that the server takes from all entries together; empty for no limit.
     std::optional<double> request_limit;
+    // The server finishes what it runs and then ends.
+    bool leaving = false;
+    // How long the server, which turned the request away, wants no requests of this entry.
+    std::optional<millis> rest;
 };
 
 /// Reads and writes the headers of the platform on which the relay runs.  The relay's own code
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -327,9 +327,25 @@
                        .on_end = [this](http_call_result end) { on_call_end(end); }});
 }
 
+// Any response tells what its server says of itself, also one that is not for this request.  One
+// with status 421 comes from another server that has the address now.
+void relay_exchange::note_server_words(const http_head& head, const response_metadata& metadata)
+{
+    if (head.status == misdirected) {
+        return;
+    }
+    if (metadata.leaving) {
+        context_.state.backend_leaves(backend_id_, backend_incarnation_);
+    }
+    if (metadata.rest) {
+        context_.state.backend_rests(backend_id_, backend_incarnation_, *metadata.rest);
+    }
+}
+
 bool relay_exchange::on_response_head(const http_head& head)
 {
     const response_metadata metadata = context_.codec.read_response(head);
+    note_server_words(head, metadata);
     if (!metadata.id.empty() && metadata.id != metadata_.id) {
         log_event(event_id::stray_answer, "request={} backend={} answers={} status={}",
                   metadata_.id, backend_id_, metadata.id, head.status);
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -90,6 +90,7 @@
     bool take_late_wait(millis now);
     void send(const backend_choice& choice);
     bool on_response_head(const http_head& head);
+    void note_server_words(const http_head& head, const response_metadata& metadata);
     void discard_response(attempt_outcome failure);
     void begin_caller_response(const http_head& head);
     void send_response_head(const http_head& head);
--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -99,6 +99,22 @@
     }
 }
 
+void relay_state::backend_leaves(const std::string& id, std::uint64_t incarnation)
+{
+    if (backends_.words().record_leaving(incarnation, core_.now())) {
+        log_event(event_id::backend_leaving, "backend={} incarnation={:016x}", id, incarnation);
+    }
+}
+
+void relay_state::backend_rests(const std::string& id, std::uint64_t incarnation, millis time)
+{
+    const millis now = core_.now();
+    if (backends_.words().record_rest(incarnation, now + time, now)) {
+        log_event(event_id::backend_resting, "backend={} incarnation={:016x} for_ms={}", id,
+                  incarnation, time.count());
+    }
+}
+
 void relay_state::backend_unreachable(backend& server, bool refused)
 {
     backends_.record_connect_failure(server, core_.now());
@@ -271,12 +287,16 @@
 {
     nlohmann::json servers;
     const millis now = core_.now();
+    const server_words& words = backends_.words();
     for (const auto& [id, server] : backends_.all()) {
+        const std::uint64_t incarnation = server->incarnation();
         servers[id] = {{"service", server->entry.service},
                        {"software", server->entry.software_version},
                        {"zone", server->entry.zone},
                        {"address", server->entry.address.text()},
                        {"draining", server->entry.draining},
+                       {"leaving", words.leaving(incarnation)},
+                       {"rest_ms", (words.rest_end(incarnation, now).value_or(now) - now).count()},
                        {"missing", server->missing},
                        {"cold", server->cold(now)},
                        {"in_flight", server->in_flight},
--- a/Source/relay_state.h
+++ b/Source/relay_state.h
@@ -87,6 +87,10 @@
                        std::function<void(std::optional<std::string>)> on_end)>
         search_origin;
 
+    /// Reports that a response of this incarnation of the server says that it leaves.
+    void backend_leaves(const std::string& id, std::uint64_t incarnation);
+    /// Reports that it wants no requests of this entry for `time`.
+    void backend_rests(const std::string& id, std::uint64_t incarnation, millis time);
     /// Reports that a connection to the server could not be established; `refused` is true if
     /// its machine answered that no process listens there.
     void backend_unreachable(backend& server, bool refused);
--- a/Tests/Platform/platform_test.cpp
+++ b/Tests/Platform/platform_test.cpp
@@ -202,3 +202,39 @@
         EXPECT_FALSE(limit_of(value)) << value;
     }
 }
+
+TEST(platform_headers, a_server_asks_for_rest_with_a_503_and_a_positive_number_of_seconds)
+{
+    const auto rest_of = [](const std::string& value, int status = 503) {
+        http_head head;
+        head.status = status;
+        head.add("Retry-After", value);
+        return make_header_codec().read_response(head).rest;
+    };
+    EXPECT_EQ(rest_of("3"), 3000ms);
+    EXPECT_EQ(rest_of("0.25"), 250ms);
+    EXPECT_EQ(rest_of("1.0001"), 1001ms);
+    EXPECT_EQ(rest_of("86400"), 600000ms);
+    EXPECT_FALSE(rest_of("3", 429));
+    EXPECT_FALSE(rest_of("3", 200));
+    for (const char* value : {"", "0", "-1", "nan", "inf", "1e3", "3 s", "1,5", "0x10",
+                              "Fri, 04 Dec 2026 23:59:59 GMT"}) {
+        EXPECT_FALSE(rest_of(value)) << value;
+    }
+}
+
+TEST(platform_headers, a_server_says_that_it_leaves_in_any_response)
+{
+    const auto leaving = [](const std::string& value, int status) {
+        http_head head;
+        head.status = status;
+        head.add("server-leaving", value);
+        return make_header_codec().read_response(head).leaving;
+    };
+    for (const int status : {200, 204, 404, 429, 500, 503}) {
+        EXPECT_TRUE(leaving("1", status)) << status;
+    }
+    for (const char* value : {"", "0", "yes"}) {
+        EXPECT_FALSE(leaving(value, 200)) << value;
+    }
+}
