Send no request to a server that has said that it leaves

What callers saw in systems like this one, and signed here: requests still reached a server that had said in its answers that it was leaving (DRAIN).

Cause: only the store's word kept requests away, and in signed the store is silent. A server that has said in any response that it leaves accepts no requests now, until a new incarnation is listed; the store's older news and an entry that comes back do not change that. What it runs goes on. If no server of a service accepts requests because all leave or are in disabled zones, requests are refused at once instead of after their wait.

--- a/Source/backend_chooser.cpp
+++ b/Source/backend_chooser.cpp
@@ -197,6 +197,7 @@
     backend_choice choice;
     choice.pool = static_cast<unsigned>(pool.servers.size());
     if (pool.servers.empty()) {
+        choice.reason = table.none_accepts(service.name) ? none_accepts : choice.reason;
         return choice;
     }
     const backend_health& outcomes = table.outcomes_of(service.name);
--- a/Source/backend_chooser.h
+++ b/Source/backend_chooser.h
@@ -69,6 +69,8 @@
 
 /// Reason for a choice without a server: none of the servers has the software version.
 inline constexpr std::string_view no_server_of_version = "no_server_of_version";
+/// The same: each server leaves or is in a disabled availability zone.
+inline constexpr std::string_view none_accepts = "none_accepts";
 
 /// The chosen server and the reasons for the choice.
 struct backend_choice {
--- a/Source/backend_table.cpp
+++ b/Source/backend_table.cpp
@@ -132,6 +132,12 @@
     return found == servers_.end() ? nullptr : found->second.get();
 }
 
+bool backend_table::accepts(const backend& server) const
+{
+    return !server.entry.draining && !words_.leaving(server.incarnation()) &&
+           !disabled_zones_.contains(server.entry.zone);
+}
+
 std::vector<backend*> backend_table::usable(const std::string& service) const
 {
     rebuild_indexes();
@@ -141,15 +147,22 @@
         return result;
     }
     for (backend* server : found->second) {
-        if (server->entry.draining ||
-            (!disabled_zones_.empty() && disabled_zones_.contains(server->entry.zone))) {
-            continue;
+        if (accepts(*server)) {
+            result.push_back(server);
         }
-        result.push_back(server);
     }
     return result;
 }
 
+bool backend_table::none_accepts(const std::string& service) const
+{
+    rebuild_indexes();
+    const auto found = pools_.find(service);
+    return found != pools_.end() && !found->second.empty() &&
+           std::none_of(found->second.begin(), found->second.end(),
+                        [this](const backend* server) { return accepts(*server); });
+}
+
 double backend_table::mean_load(const std::string& service, millis now) const
 {
     rebuild_indexes();
--- a/Source/backend_table.h
+++ b/Source/backend_table.h
@@ -105,6 +105,8 @@
     const backend* find_by_hash(std::uint32_t hash) const;
     /// The servers of `service` that accept requests, ordered by id.
     std::vector<backend*> usable(const std::string& service) const;
+    /// Whether the service has servers and none accepts requests.
+    bool none_accepts(const std::string& service) const;
     /// Mean load over all servers of `service`.  Servers that accept no requests are included:
     /// they belong to the pool until they are removed.
     double mean_load(const std::string& service, millis now) const;
@@ -173,6 +175,7 @@
     const std::map<std::string, std::unique_ptr<backend>>& all() const { return servers_; }
 
 private:
+    bool accepts(const backend& server) const;
     void rebuild_indexes() const;
     void adjust_peer_in_flight(std::uint32_t hash, unsigned removed, unsigned added);
 
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -237,6 +237,12 @@
         give_up(std::string(choice.reason));
         return;
     }
+    if (choice.reason == none_accepts) {
+        log_event(event_id::request_refused, "request={} reason={} service={}", metadata_.id,
+                  choice.reason, service_);
+        give_up(std::string(choice.reason));
+        return;
+    }
     const millis now = context_.core.now();
     if (!waiting_since_) {
         waiting_since_ = now;
