Send no request to a server that wants rest

Cause: the relay did not read a server's Retry-After; the share of failures alone kept requests away. A server now gets none until the rest that it named to this entry ends, also not as a spare. If all servers rest, have been tried or leave, a request waits only for a rest that ends within its wait, else it is refused at once. After a rest a server gets one request, and twice as many after each answer, so that what waited does not rush to it. Prompts are not copied from a server that rests.

--- a/Source/backend_chooser.cpp
+++ b/Source/backend_chooser.cpp
@@ -128,7 +128,8 @@
             const backend* other = table.find_by_hash(server_hash);
             if (other == nullptr || other->entry.service != criteria.service ||
                 other->entry.software_version != server.entry.software_version || other->missing ||
-                other->health.in_backoff(now)) {
+                other->health.in_backoff(now) ||
+                table.words().rest_end(other->incarnation(), now)) {
                 continue;
             }
             const auto cost = [&](const backend& from) {
@@ -215,6 +216,12 @@
     backend* fallback = nullptr;
     unsigned fallback_rank = 0;
     unsigned rank = 0;
+    bool any_rests = false;
+    bool may_pass_soon = false; // a server is kept out for another reason
+    const auto keep_out = [&](std::string_view reason) {
+        choice.reason = reason;
+        may_pass_soon = true;
+    };
     choice.reason = criteria.software_version ? no_server_of_version : "all_tried";
     for (backend* server : order_candidates(pool, criteria, now)) {
         ++rank;
@@ -226,22 +233,32 @@
             choice.reason = "all_tried";
         }
         if (criteria.software_version && server->has_restarted(now)) {
-            choice.reason = "restarted";
+            keep_out("restarted");
             continue;
         }
-        if (criteria.tried != nullptr && criteria.tried->contains(server->entry.id)) {
+        const bool tried = criteria.tried != nullptr && criteria.tried->contains(server->entry.id);
+        const auto rest_end = table.words().rest_end(server->incarnation(), now);
+        any_rests = any_rests || rest_end;
+        if (rest_end && !tried) {
+            choice.rest_end = std::min(*rest_end, choice.rest_end.value_or(*rest_end));
+        }
+        if (rest_end || tried) {
             continue;
         }
         if (server->health.in_backoff(now)) {
-            choice.reason = "unreachable";
+            keep_out("unreachable");
+            continue;
+        }
+        if (!table.words().admits_trial(server->incarnation())) {
+            keep_out("after_rest");
             continue;
         }
         if (!admits_cold_start(*server, service, now)) {
-            choice.reason = "cold";
+            keep_out("cold");
             continue;
         }
         if (!admits_limited_start(*server, now)) {
-            choice.reason = "limited";
+            keep_out("limited");
             continue;
         }
         const unsigned load = server->load(now);
@@ -265,10 +282,15 @@
         choice.load = fallback->load(now);
         choice.reason = "spare";
     }
-    if (choice.server != nullptr) {
-        choice.server->health.record_attempt(now);
+    if (choice.server != nullptr || may_pass_soon) {
+        choice.rest_end.reset();
+    }
+    else if (any_rests) {
+        choice.reason = resting;
     }
     if (choice.server != nullptr) {
+        choice.server->health.record_attempt(now);
+        choice.trial = table.words().begin_trial(choice.server->incarnation());
         choice.prefix_cached = has_prefix(*choice.server, criteria, now);
         choice.copy_source = find_copy_source(table, *choice.server, criteria, now);
     }
--- a/Source/backend_chooser.h
+++ b/Source/backend_chooser.h
@@ -71,6 +71,8 @@
 inline constexpr std::string_view no_server_of_version = "no_server_of_version";
 /// The same: each server leaves or is in a disabled availability zone.
 inline constexpr std::string_view none_accepts = "none_accepts";
+/// The same: servers have asked for rest, and the others have been tried.
+inline constexpr std::string_view resting = "resting";
 
 /// The chosen server and the reasons for the choice.
 struct backend_choice {
@@ -80,6 +82,10 @@
     bool prefix_cached = false; // `server` is assumed to have the whole shared prefix cached
     // Server that caches a longer part of the shared prefix, to copy it from; may be null.
     const backend* copy_source = nullptr;
+    bool trial = false; // of a server that has rested, see `server_words`
+    // When the first server takes the request again, if `reason` is `resting`; empty if none will,
+    // because it has been tried at all of them.
+    std::optional<millis> rest_end;
     unsigned load = 0; // requests at the chosen server, without this one
     double mean = 0;   // mean load of all servers of the service
     unsigned pool = 0; // number of servers of the service that accept requests
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -252,6 +252,14 @@
     const auto share =
         std::chrono::duration_cast<millis>(route_->target * context_.options.wait_share);
     const millis max_wait = std::max(context_.options.choice_retry_interval, share);
+    const millis wait_end = *waiting_since_ + max_wait;
+    if (choice.reason == resting && choice.rest_end.value_or(millis::max()) > wait_end) {
+        log_event(event_id::request_refused, "request={} reason={} service={} rest_ms={}",
+                  metadata_.id, choice.reason, service_,
+                  choice.rest_end ? (*choice.rest_end - now).count() : -1);
+        give_up(std::string(choice.reason));
+        return;
+    }
     if (now - *waiting_since_ >= max_wait && !take_late_wait(now)) {
         give_up(std::string(choice.reason));
         return;
@@ -275,6 +283,7 @@
     sent_at_ = context_.core.now();
     backend_id_ = server.entry.id;
     backend_incarnation_ = server.incarnation();
+    trial_ = choice.trial;
     software_version_ = server.entry.software_version;
     if (route_->kind == route_kind::stream && route_->resumable) {
         context_.state.origins().record(
@@ -333,6 +342,13 @@
                        .on_end = [this](http_call_result end) { on_call_end(end); }});
 }
 
+void relay_exchange::end_trial(bool accepted)
+{
+    if (std::exchange(trial_, false)) {
+        context_.state.backends().words().end_trial(backend_incarnation_, accepted);
+    }
+}
+
 // Any response tells what its server says of itself, also one that is not for this request.  One
 // with status 421 comes from another server that has the address now.
 void relay_exchange::note_server_words(const http_head& head, const response_metadata& metadata)
@@ -367,6 +383,7 @@
     if (metadata.id.empty()) {
         connection_->close_after_call(); // later responses could not be told from this one
     }
+    end_trial(!metadata.not_run && head.status != unavailable);
     backend* server = context_.state.backends().find(backend_id_);
     if (server != nullptr && metadata.load) {
         context_.state.backends().record_load(*server, *metadata.load, context_.core.now());
@@ -744,6 +761,7 @@
     if (connection_ == nullptr) {
         return;
     }
+    end_trial(false);
     backend* server = context_.state.backends().find(backend_id_);
     if (server != nullptr && server->in_flight > 0) {
         --server->in_flight;
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -90,6 +90,7 @@
     bool take_late_wait(millis now);
     void send(const backend_choice& choice);
     bool on_response_head(const http_head& head);
+    void end_trial(bool accepted);
     void note_server_words(const http_head& head, const response_metadata& metadata);
     void discard_response(attempt_outcome failure);
     void begin_caller_response(const http_head& head);
@@ -147,8 +148,9 @@
     std::unique_ptr<client_connection> connection_;
     std::string backend_id_; // the backend server of the latest attempt
     std::uint64_t backend_incarnation_ = 0;
-    std::string service_;                       // chosen among the services of the route
-    std::string software_version_;              // of that server
+    bool trial_ = false;           // of a server that has rested, until its answer begins
+    std::string service_;          // chosen among the services of the route
+    std::string software_version_; // of that server
     std::optional<std::string> stream_version_; // the only one that can continue the stream
     millis sent_at_{0};
     body_mode mode_ = body_mode::discard;
--- a/Source/server_words.cpp
+++ b/Source/server_words.cpp
@@ -8,6 +8,7 @@
 
 // More than a fleet has servers; the word that was heard first is dropped beyond that.
 constexpr std::size_t max_words = 4096;
+constexpr unsigned trials_after_rest = 8;
 
 } // namespace
 
@@ -44,6 +45,8 @@
         return false;
     }
     found.rest_end = end;
+    found.trying = true;
+    found.accepted_trials = 0;
     return true;
 }
 
@@ -62,6 +65,35 @@
     return found->second.rest_end;
 }
 
+bool server_words::admits_trial(std::uint64_t incarnation) const
+{
+    const auto found = words_.find(incarnation);
+    return found == words_.end() || !found->second.trying ||
+           found->second.open_trials <= found->second.accepted_trials;
+}
+
+bool server_words::begin_trial(std::uint64_t incarnation)
+{
+    const auto found = words_.find(incarnation);
+    if (found == words_.end() || !found->second.trying) {
+        return false;
+    }
+    ++found->second.open_trials;
+    return true;
+}
+
+void server_words::end_trial(std::uint64_t incarnation, bool accepted)
+{
+    const auto found = words_.find(incarnation);
+    if (found == words_.end()) {
+        return;
+    }
+    word& tried = found->second;
+    tried.open_trials -= tried.open_trials > 0 ? 1 : 0;
+    tried.accepted_trials += accepted ? 1 : 0;
+    tried.trying = tried.trying && tried.accepted_trials < trials_after_rest;
+}
+
 std::vector<server_words::leaving_report> server_words::leaving_to_report(millis now) const
 {
     std::vector<leaving_report> result;
--- a/Source/server_words.h
+++ b/Source/server_words.h
@@ -30,6 +30,15 @@
     /// Until when the server wants no requests; empty if it takes them at `now`.
     std::optional<millis> rest_end(std::uint64_t incarnation, millis now) const;
 
+    /// Whether the server, if it has rested, may get one more request: at first it gets one, and
+    /// twice as many after each answer, until it has answered a few.
+    bool admits_trial(std::uint64_t incarnation) const;
+    /// Records that the server gets a request.  Returns false if it has not rested recently, so
+    /// that `end_trial` need not be called.
+    bool begin_trial(std::uint64_t incarnation);
+    /// Records the end of a trial; `accepted` is false if the server did not take the request.
+    void end_trial(std::uint64_t incarnation, bool accepted);
+
     /// A server that leaves.
     struct leaving_report {
         std::uint64_t incarnation = 0;
@@ -44,6 +53,9 @@
         millis heard{0}; // time of the latest
         std::optional<millis> leaving_since;
         millis rest_end{0};
+        bool trying = false;          // has rested, and not answered enough trials since
+        unsigned open_trials = 0;     // without an answer
+        unsigned accepted_trials = 0; // since the last rest
     };
 
     word& word_of(std::uint64_t incarnation, millis now);
