Crowd no server because the others rest

Cause: servers over the load bound serve as spare without limit, and a rest of the others makes one of all requests' only server. While servers rest, a spare gets no more requests than it runs at once; the rest is refused after its wait.

Evidence: server_words.do_not_overload_the_only_server_that_takes_requests failed before (100 sent, 8 slots). The module tests the words of servers without network.

--- a/Source/backend_chooser.cpp
+++ b/Source/backend_chooser.cpp
@@ -276,6 +276,11 @@
         choice.reason = "chosen";
         break;
     }
+    // While some servers rest, the requests of all would crowd the others.
+    if (choice.server == nullptr && fallback != nullptr && any_rests && fallback->full(now)) {
+        keep_out("full");
+        fallback = nullptr;
+    }
     if (choice.server == nullptr && fallback != nullptr) {
         choice.server = fallback;
         choice.rank = fallback_rank;
--- a/Source/backend_table.h
+++ b/Source/backend_table.h
@@ -60,6 +60,8 @@
 
     /// Estimated number of requests running or waiting at the server, from all entries.
     unsigned load(millis now) const;
+    /// Whether the server has as many requests as it runs at once, as far as known.
+    bool full(millis now) const { return entry.slots > 0 && load(now) >= entry.slots; }
     bool cold(millis now) const { return now < cold_until; }
     /// Whether the server has started again, perhaps with other software, since it wrote its entry.
     bool has_restarted(millis now) const;
