Tell peers which servers have said that they leave

What callers would see: requests that reach a leaving server from entries to which it has not said so yet, while the store is silent.

Evidence: two_entries.tell_each_other_that_a_server_leaves is new and passes; its code did not exist before, so it could not be run on it. An older entry ignores the new field, and tells nothing.

--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -27,8 +27,9 @@
 constexpr std::size_t digests_per_repetition = 4;
 constexpr std::size_t suspects_per_repetition = 8;
 constexpr std::size_t max_suspects = 256;
-constexpr std::size_t max_limit_reports = 256; // limited servers per digest; others are left out
-constexpr double limit_scale = 1000;           // limits are sent in thousandths
+constexpr std::size_t max_limit_reports = 256;   // limited servers per digest; others are left out
+constexpr std::size_t max_leaving_reports = 256; // the same of servers that leave
+constexpr double limit_scale = 1000;             // limits are sent in thousandths
 constexpr millis send_check_interval = 50ms;
 // Interval between two requests for the records of a log that a restore has lost.
 constexpr millis lost_request_interval = 500ms;
@@ -265,6 +266,15 @@
         }
         row.set_age_ms(static_cast<std::uint32_t>((core_.now() - report.limit.at).count()));
     }
+    for (const server_words::leaving_report& report :
+         state_->backends().words().leaving_to_report(core_.now())) {
+        if (static_cast<std::size_t>(body.leaving_size()) >= max_leaving_reports) {
+            break;
+        }
+        wire::backend_leaving& row = *body.add_leaving();
+        row.set_incarnation(report.incarnation);
+        row.set_age_ms(static_cast<std::uint32_t>((core_.now() - report.at).count()));
+    }
     if (with_peers) {
         const millis now = core_.now();
         for (const auto& [address, row] : peers_) {
@@ -389,6 +399,9 @@
         }
         state_->backends().record_limit_report(report, core_.now());
     }
+    for (const wire::backend_leaving& row : digest.leaving()) {
+        state_->peer_heard_leaving(row.incarnation(), millis(row.age_ms()));
+    }
     backend_table::outcomes_by_server outcomes;
     for (const wire::backend_ends& row : digest.ends()) {
         outcomes[row.backend()] = {.successes = row.good_tenths() / outcome_count_scale,
--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -102,7 +102,17 @@
 void relay_state::backend_leaves(const std::string& id, std::uint64_t incarnation)
 {
     if (backends_.words().record_leaving(incarnation, core_.now())) {
-        log_event(event_id::backend_leaving, "backend={} incarnation={:016x}", id, incarnation);
+        log_event(event_id::backend_leaving, "backend={} incarnation={:016x} age_ms=0", id,
+                  incarnation);
+    }
+}
+
+void relay_state::peer_heard_leaving(std::uint64_t incarnation, millis age)
+{
+    if (age < leaving_report_time &&
+        backends_.words().record_leaving(incarnation, core_.now() - age)) {
+        log_event(event_id::backend_leaving, "backend=? incarnation={:016x} age_ms={}", incarnation,
+                  age.count());
     }
 }
 
--- a/Source/relay_state.h
+++ b/Source/relay_state.h
@@ -89,6 +89,8 @@
 
     /// Reports that a response of this incarnation of the server says that it leaves.
     void backend_leaves(const std::string& id, std::uint64_t incarnation);
+    /// Reports that a peer knows that for `age`.
+    void peer_heard_leaving(std::uint64_t incarnation, millis age);
     /// Reports that it wants no requests of this entry for `time`.
     void backend_rests(const std::string& id, std::uint64_t incarnation, millis time);
     /// Reports that a connection to the server could not be established; `refused` is true if
--- a/Tests/Relay/peer_gossip_test.cpp
+++ b/Tests/Relay/peer_gossip_test.cpp
@@ -176,6 +176,19 @@
     EXPECT_TRUE(run_until([&] { return !entries[1]->server().limit.per_second; }));
 }
 
+// Guards against requests of entries to which a server has not said yet that it leaves.
+TEST_F(two_entries, tell_each_other_that_a_server_leaves)
+{
+    start(0);
+    start(1);
+    const std::uint64_t incarnation = entries[0]->server().incarnation();
+    entries[0]->state.backend_leaves("s1", incarnation);
+    EXPECT_TRUE(
+        run_until([&] { return entries[1]->state.backends().words().leaving(incarnation); }));
+    entries[1]->state.peer_heard_leaving(incarnation + 1, leaving_report_time);
+    EXPECT_FALSE(entries[1]->state.backends().words().leaving(incarnation + 1));
+}
+
 // Guards against entries that all take themselves for the first because, in a large fleet, each
 // hears the others seldom; each would then send a limited server its whole limit.
 TEST_F(two_entries, agree_on_their_ranks_while_digests_come_seldom)
