Keep connections to backend servers by incarnation

What callers would see: what an earlier incarnation of a server says, on a connection that was kept under its id, is taken for a word of the next one: it gets no requests for as long as it lives.

Cause: the pool of idle connections was keyed by the server's id alone. It is keyed by the incarnation now, as the words are, and connections to incarnations that are listed no more are closed.

Evidence: server_words_heeded.of_an_earlier_incarnation_arrive_on_no_later_request failed before; relay_tests 226 of 226.

--- a/Source/backend_connection_pool.cpp
+++ b/Source/backend_connection_pool.cpp
@@ -10,12 +10,12 @@
     return advertised ? std::max(0ms, *advertised - options_.keep_alive_margin) : options_.max_idle;
 }
 
-std::unique_ptr<client_connection> backend_connection_pool::acquire(const std::string& id,
+std::unique_ptr<client_connection> backend_connection_pool::acquire(std::uint64_t incarnation,
                                                                     const net_address& address,
                                                                     bool at_most_once)
 {
     const millis now = core_.now();
-    std::deque<idle_connection>& idle = by_server_[id];
+    std::deque<idle_connection>& idle = by_server_[incarnation];
     while (!idle.empty()) {
         idle_connection pooled = std::move(idle.back());
         idle.pop_back();
@@ -35,22 +35,21 @@
     return std::make_unique<client_connection>(core_.loop(), address, options_.connection);
 }
 
-void backend_connection_pool::release(const std::string& id,
+void backend_connection_pool::release(std::uint64_t incarnation,
                                       std::unique_ptr<client_connection> connection)
 {
     if (connection->reusable()) {
-        by_server_[id].push_back({std::move(connection), core_.now()});
+        by_server_[incarnation].push_back({std::move(connection), core_.now()});
     }
 }
 
-void backend_connection_pool::evict_expired(
-    const std::function<bool(const std::string&)>& is_listed)
+void backend_connection_pool::evict_expired(const std::set<std::uint64_t>& listed)
 {
     const millis now = core_.now();
-    for (auto& [id, idle] : by_server_) {
-        const bool listed = is_listed(id);
+    for (auto& [incarnation, idle] : by_server_) {
+        const bool is_listed = listed.contains(incarnation);
         std::erase_if(idle, [&](const idle_connection& pooled) {
-            return !listed || !pooled.connection->reusable() ||
+            return !is_listed || !pooled.connection->reusable() ||
                    now - pooled.since >= max_idle_time(pooled);
         });
     }
@@ -60,7 +59,7 @@
 std::size_t backend_connection_pool::idle() const
 {
     std::size_t count = 0;
-    for (const auto& [id, idle] : by_server_) {
+    for (const auto& [incarnation, idle] : by_server_) {
         count += idle.size();
     }
     return count;
--- a/Source/backend_connection_pool.h
+++ b/Source/backend_connection_pool.h
@@ -4,10 +4,11 @@
 #include "kernel.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
-#include <string>
+#include <set>
 
 namespace cyclamen {
 
@@ -22,8 +23,8 @@
     millis max_idle_at_most_once = 1000ms;
 };
 
-/// Pool of idle connections to backend servers, by the ID of the backend server. Connections to an
-/// earlier incarnation or address of a server are not distinguished. Owned by the relay server.
+/// Pool of idle connections to backend servers, by the hash of the server's incarnation. Owned by
+/// the relay server.
 class backend_connection_pool {
 public:
     backend_connection_pool(kernel& core, backend_connection_pool_options options)
@@ -34,15 +35,15 @@
     /// Returns an idle connection, or a new one to `address` if none is usable. If `at_most_once`
     /// is set, reuses only connections that have been idle for less than the limit for at-most-once
     /// requests.
-    std::unique_ptr<client_connection> acquire(const std::string& id, const net_address& address,
-                                               bool at_most_once);
+    std::unique_ptr<client_connection> acquire(std::uint64_t incarnation,
+                                               const net_address& address, bool at_most_once);
     /// Returns a new connection to `address`.
     std::unique_ptr<client_connection> open(const net_address& address);
     /// Returns a connection to the pool if it is reusable; closes it otherwise.
-    void release(const std::string& id, std::unique_ptr<client_connection> connection);
+    void release(std::uint64_t incarnation, std::unique_ptr<client_connection> connection);
     /// Closes connections that have exceeded their maximum idle time, are no longer reusable, or
-    /// belong to a backend server for which `is_listed` returns false.
-    void evict_expired(const std::function<bool(const std::string& id)>& is_listed);
+    /// belong to none of the listed incarnations.
+    void evict_expired(const std::set<std::uint64_t>& listed);
     /// Number of idle connections.
     std::size_t idle() const;
 
@@ -56,7 +57,8 @@
 
     kernel& core_;
     backend_connection_pool_options options_;
-    std::map<std::string, std::deque<idle_connection>> by_server_; // most recently used at the back
+    std::map<std::uint64_t, std::deque<idle_connection>>
+        by_server_; // most recently used at the back
 };
 
 } // namespace cyclamen
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -319,9 +319,9 @@
         request.length = body_.size();
     }
     const bool once = !attempts_->repeatable();
-    connection_ = metadata_.id.empty()
-                      ? context_.connections.open(server.entry.address)
-                      : context_.connections.acquire(backend_id_, server.entry.address, once);
+    connection_ = metadata_.id.empty() ? context_.connections.open(server.entry.address)
+                                       : context_.connections.acquire(backend_incarnation_,
+                                                                      server.entry.address, once);
     log_event(event_id::backend_chosen,
               "request={} route={} prompt={:x} backend={} software={} after_event={} zone={} "
               "reason={} rank={} kept={} "
@@ -770,7 +770,7 @@
         connection_->abandon();
     }
     else {
-        context_.connections.release(backend_id_, std::move(connection_));
+        context_.connections.release(backend_incarnation_, std::move(connection_));
     }
     connection_.reset();
 }
--- a/Source/relay_server.cpp
+++ b/Source/relay_server.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <set>
 #include <stdexcept>
 
 namespace cyclamen {
@@ -185,8 +186,11 @@
 
 void relay_server::sweep()
 {
-    connections_.evict_expired(
-        [this](const std::string& id) { return state_->backends().find(id) != nullptr; });
+    std::set<std::uint64_t> listed;
+    for (const auto& [id, server] : state_->backends().all()) {
+        listed.insert(server->incarnation());
+    }
+    connections_.evict_expired(listed);
 }
 
 void relay_server::abort_open_exchanges()
--- a/Tests/Relay/server_words_test.cpp
+++ b/Tests/Relay/server_words_test.cpp
@@ -161,6 +161,18 @@
     send_to(shop, get("/view/"));
 }
 
+// Guards against a word that arrives on a connection to an earlier incarnation of the server.
+TEST_F(server_words_heeded, of_an_earlier_incarnation_arrive_on_no_later_request)
+{
+    scripted_backend& shop = add_server("s1");
+    answer(shop, get("/view/"), response_of("q1", "seen"));
+    ASSERT_TRUE(
+        fleet.wait_for([&] { return fleet.relay().describe()["idle_backend_connections"] == 1; }));
+    list_again("s1", 2);
+    send_to(shop, get("/view/"));
+    EXPECT_EQ(shop.connections(), 2U);
+}
+
 // Guards against a word that cuts what the server is running.
 TEST_F(server_words_heeded, cut_no_request_that_runs)
 {
