Print test parameters with an output operator

clang-tidy refuses the name of the hook PrintTo, which GoogleTest looks for; an output operator serves as well.

--- a/Tests/Relay/server_words_test.cpp
+++ b/Tests/Relay/server_words_test.cpp
@@ -95,9 +95,9 @@
     std::string text;
 };
 
-void PrintTo(const last_response& row, std::ostream* out)
+std::ostream& operator<<(std::ostream& out, const last_response& row)
 {
-    *out << row.name;
+    return out << row.name;
 }
 
 class server_words_in_any_response : public server_words_heeded,
--- a/Tests/Relay/unproven_answers_test.cpp
+++ b/Tests/Relay/unproven_answers_test.cpp
@@ -184,9 +184,9 @@
     std::string response; // of the server that is to continue the stream
 };
 
-void PrintTo(const follower& row, std::ostream* out)
+std::ostream& operator<<(std::ostream& out, const follower& row)
 {
-    *out << row.name;
+    return out << row.name;
 }
 
 // A stream that broke off after its event with the id 1, and what the next server answers.
