Go on after the last event that was passed on, not after a rejected one

What callers would see: a stream with a gap or a repetition after three servers, when the second one's events did not follow and were dropped: their ids had become the place to go on from. Found in reading the change.

Evidence: event_stream.goes_on_after_the_last_event_that_was_passed_on failed before ("4" instead of "7").

--- a/Source/event_stream_splitter.cpp
+++ b/Source/event_stream_splitter.cpp
@@ -128,6 +128,9 @@
     if (const auto before = std::exchange(id_to_follow_, std::nullopt)) {
         continues_ = follows(id, *before);
     }
+    if (!continues_) {
+        return; // these events are not passed on
+    }
     last_event_named_ = !id.empty();
     last_id_ = id.empty() ? last_id_ : id;
 }
--- a/Tests/Decisions/relay_decisions_test.cpp
+++ b/Tests/Decisions/relay_decisions_test.cpp
@@ -178,3 +178,29 @@
     locations.remove_server(7);
     EXPECT_EQ(locations.size(), 0U);
 }
+
+// Guards against a stream that goes on after events which were not passed on.
+TEST(event_stream, goes_on_after_the_last_event_that_was_passed_on)
+{
+    event_stream_splitter events;
+    events.feed("id: 7\ndata: a\n\n");
+    events.restart();
+    events.feed("id: 3\ndata: b\n\nid: 4\ndata: c\n\n");
+    EXPECT_FALSE(events.continues());
+    EXPECT_EQ(events.last_id(), "7");
+    events.restart();
+    EXPECT_TRUE(events.continues());
+    events.feed(": a comment\n\nid: 8\ndata: d\n\n");
+    EXPECT_TRUE(events.continues());
+    EXPECT_EQ(events.last_id(), "8");
+}
+
+TEST(event_stream, is_named_by_its_type_whatever_the_case_and_parameters)
+{
+    for (const char* type : {"text/event-stream", "Text/Event-Stream", "text/event-stream ; a=b"}) {
+        EXPECT_TRUE(is_event_stream(type)) << type;
+    }
+    for (const char* type : {"", "text/event-streams", "text/plain; text/event-stream"}) {
+        EXPECT_FALSE(is_event_stream(type)) << type;
+    }
+}
