--- a/Source/event_log.cpp
+++ b/Source/event_log.cpp
@@ -131,6 +131,8 @@
         {event_id::quarantine_ended, severity::info, "quarantine_ended"},
         {event_id::quarantine_stored, severity::info, "quarantine_stored"},
         {event_id::quarantine_read, severity::info, "quarantine_read"},
+        {event_id::server_ended, severity::info, "server_ended"},
+        {event_id::attempt_unanswered, severity::info, "attempt_unanswered"},
         {event_id::backend_cold, severity::info, "backend_cold"},
         {event_id::backend_warm, severity::info, "backend_warm"},
         {event_id::credential_refused, severity::warning, "credential_refused"},
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -47,6 +47,8 @@
     quarantine_ended = 1405,
     quarantine_stored = 1406,
     quarantine_read = 1407,
+    server_ended = 1408,
+    attempt_unanswered = 1409,
     backend_cold = 1501,
     backend_warm = 1502,
     credential_refused = 1601,
@@ -87,7 +89,7 @@
     std::string_view name;
 };
 
-inline constexpr std::size_t event_count = 57;
+inline constexpr std::size_t event_count = 59;
 
 /// Catalogue of all events, sorted by number.
 const std::array<event_description, event_count>& event_catalogue();
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -281,6 +281,7 @@
 {
     backend& server = *choice.server;
     sent_at_ = context_.core.now();
+    heard_at_ = sent_at_;
     backend_id_ = server.entry.id;
     backend_incarnation_ = server.incarnation();
     trial_ = choice.trial;
@@ -366,6 +367,7 @@
 
 bool relay_exchange::on_response_head(const http_head& head)
 {
+    heard_at_ = context_.core.now();
     const response_metadata metadata = context_.codec.read_response(head);
     note_server_words(head, metadata);
     if (!metadata.id.empty() && metadata.id != metadata_.id) {
@@ -477,6 +479,7 @@
 
 void relay_exchange::on_response_body(std::string_view data)
 {
+    heard_at_ = context_.core.now();
     if (mode_ == body_mode::discard) {
         return;
     }
@@ -552,6 +555,7 @@
     release_call(false);
     if (!failure) {
         if (outcome == http_call_result::closed) {
+            log_unanswered("unmarked");
             record_possible_crash();
         }
         else if (status_ < first_redirection) {
@@ -560,6 +564,9 @@
         finish_response();
         return;
     }
+    if (failure != attempt_outcome::not_sent && failure != attempt_outcome::rejected) {
+        log_unanswered(name_of(attempt_outcome_names, *failure));
+    }
     if (failure == attempt_outcome::lost) {
         record_possible_crash();
     }
@@ -650,6 +657,15 @@
     return true;
 }
 
+void relay_exchange::log_unanswered(std::string_view how)
+{
+    log_event(event_id::attempt_unanswered,
+              "request={} backend={} incarnation={:016x} end={} silent_ms={} suspect={:016x}",
+              metadata_.id, backend_id_, backend_incarnation_, how,
+              (context_.core.now() - heard_at_).count(),
+              suspects().empty() ? 0 : suspects().front().hash);
+}
+
 // Reports that the server may have crashed while it ran this request.  Whether it did shows in
 // other signs.
 void relay_exchange::record_possible_crash()
@@ -720,6 +736,7 @@
     }
     const bool open = connection_ != nullptr;
     if (open) {
+        log_unanswered("deadline");
         record_possible_crash();
     }
     release_call(true);
@@ -735,6 +752,7 @@
 {
     // The caller may have left because the server is silent.
     if (connection_ != nullptr) {
+        log_unanswered("caller_left");
         record_possible_crash();
     }
     release_call(true);
@@ -747,6 +765,9 @@
         return;
     }
     const bool open = connection_ != nullptr;
+    if (open) {
+        log_unanswered(why);
+    }
     release_call(true);
     if (response_head_sent_) {
         caller_->abort_response();
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -106,6 +106,7 @@
     const std::vector<suspect>& suspects();
     bool refuse_quarantined();
     void record_possible_crash();
+    void log_unanswered(std::string_view how);
     void refuse(int status, const std::string& reason);
     void refuse(const relay_refusal& why);
     millis retry_after() const;
@@ -153,6 +154,7 @@
     std::string software_version_; // of that server
     std::optional<std::string> stream_version_; // the only one that can continue the stream
     millis sent_at_{0};
+    millis heard_at_{0}; // when bytes of its response last arrived
     body_mode mode_ = body_mode::discard;
     std::optional<attempt_outcome> failure_; // set if the response head reports a failure
     event_stream_splitter events_;
--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -14,6 +14,13 @@
 
 constexpr millis sweep_interval = 200ms;
 
+void log_server_end(const backend& server, std::string_view sign, std::size_t counted)
+{
+    log_event(event_id::server_ended,
+              "backend={} incarnation={:016x} sign={} draining={} counted={}", server.entry.id,
+              server.incarnation(), sign, server.entry.draining, counted);
+}
+
 } // namespace
 
 void relay_state::start()
@@ -80,8 +87,11 @@
                          known->entry.started_at != entry.started_at ||
                          (known->entry.cold_for == 0ms) != (entry.cold_for == 0ms);
     const bool replaced = known != nullptr && known->entry.started_at < entry.started_at;
+    if (replaced && known->entry.draining) {
+        log_server_end(*known, "restarted", 0);
+    }
     if (replaced && !known->entry.draining) {
-        publish(crashes_.on_server_down(known->incarnation(), core_.now()));
+        publish(record_server_end(*known, "restarted"));
     }
     if (known != nullptr && known->entry.software_version != entry.software_version) {
         origins_.note_version(known->entry.service, known->entry.software_version, core_.now());
@@ -132,13 +142,16 @@
     if (refused) {
         backend_table::record_refusal(server, core_.now());
     }
+    if (refused && server.entry.draining) {
+        log_server_end(server, "refused", 0);
+    }
     if (!refused || server.entry.draining) {
         return;
     }
     // The source tells all entries when a server restarts or leaves, but not that it refuses.
     const std::uint64_t incarnation = server.incarnation();
     const bool known = crashes_.known_down(incarnation);
-    const auto counted = crashes_.on_server_down(incarnation, core_.now());
+    const auto counted = record_server_end(server, "refused");
     if (!known || !counted.empty()) {
         publish(counted, incarnation);
     }
@@ -169,6 +182,14 @@
     check_quarantine();
 }
 
+std::vector<std::uint64_t> relay_state::record_server_end(const backend& server,
+                                                          std::string_view sign)
+{
+    std::vector<std::uint64_t> counted = crashes_.on_server_down(server.incarnation(), core_.now());
+    log_server_end(server, sign, counted.size());
+    return counted;
+}
+
 // Tells the peers what has become known of these suspects, and that a server is down.
 void relay_state::publish(const std::vector<std::uint64_t>& suspects,
                           std::optional<std::uint64_t> server_down)
@@ -219,8 +240,11 @@
     if (known == nullptr) {
         return;
     }
-    if (!known->entry.draining) {
-        publish(crashes_.on_server_down(known->incarnation(), core_.now()));
+    if (known->entry.draining) {
+        log_server_end(*known, "removed", 0);
+    }
+    else {
+        publish(record_server_end(*known, "removed"));
     }
     origins_.note_version(known->entry.service, known->entry.software_version, core_.now());
     backends_.drop(id, core_.now());
--- a/Source/relay_state.h
+++ b/Source/relay_state.h
@@ -134,6 +134,8 @@
     void publish(const std::vector<std::uint64_t>& suspects,
                  std::optional<std::uint64_t> server_down = std::nullopt);
     void check_quarantine();
+    // Records that an incarnation of a server has ended, and logs by what sign that shows.
+    std::vector<std::uint64_t> record_server_end(const backend& server, std::string_view sign);
     void note_versions();
     void mark_source_lost(const std::string& why);
     void mark_source_regained();
