--- a/Tests/Decisions/crash_watch_test.cpp
+++ b/Tests/Decisions/crash_watch_test.cpp
@@ -85,3 +85,21 @@
     EXPECT_EQ(detector.on_server_down(1, 1100ms).size(), 1U);
     EXPECT_TRUE(detector.on_server_down(1, 1200ms).empty());
 }
+
+// platform_down: guards against a crash that nobody counts because the news of the server's end
+// come late, while the source of the servers' entries is away.
+TEST(crash_watch, a_loss_waits_for_late_news_of_the_servers_end)
+{
+    crash_detector detector;
+    detector.record_loss(poison, 1, 1000ms);
+    EXPECT_EQ(detector.on_server_down(1, 26000ms).size(), 1U);
+}
+
+// srv_crash dark: guards against a crash that nobody counts because the attempt ended late, at the
+// deadline of a request to a server that had fallen silent.
+TEST(crash_watch, the_end_of_a_server_waits_for_a_late_loss)
+{
+    crash_detector detector;
+    detector.on_server_down(1, 1000ms);
+    EXPECT_EQ(detector.record_loss(poison, 1, 61000ms).size(), 1U);
+}
--- a/Tests/Relay/peer_gossip_test.cpp
+++ b/Tests/Relay/peer_gossip_test.cpp
@@ -56,11 +56,14 @@
         return options;
     }
 
+    // A request with the harmful part is lost at the server.
+    void lose_request() { state.request_lost(harmful, server().incarnation()); }
+
     // Three servers end while they run requests with the harmful part.
     void crash_servers()
     {
         for (std::uint64_t started_at = 2; started_at <= 4; ++started_at) {
-            state.request_lost(harmful, server().incarnation());
+            lose_request();
             state.update_backend({.id = "s1",
                                   .service = "shop",
                                   .address = {.host = "127.0.0.1", .port = 1},
@@ -145,7 +148,7 @@
     ASSERT_TRUE(run_until([&] {
         return entries[0]->gossip.rank(1) + entries[1]->gossip.rank(1) == 1;
     })) << "each hears the other";
-    entries[0]->state.request_lost(harmful, entries[0]->server().incarnation());
+    entries[0]->lose_request();
     entries[1]->state.backend_unreachable(entries[1]->server(), true);
     EXPECT_TRUE(run_until([&] {
         return entries[0]->state.crashes().crashes(harmful[0].hash, entries[0]->core.now()) == 1 &&
@@ -153,11 +156,40 @@
     }));
 }
 
+// Guards against a loss that only the entry knows that saw it: it ended before its server's end
+// showed.
+TEST_F(two_entries, know_a_loss_when_the_entry_that_saw_it_has_ended)
+{
+    start(0);
+    start(1);
+    ASSERT_TRUE(
+        run_until([&] { return entries[0]->gossip.rank(1) + entries[1]->gossip.rank(1) == 1; }));
+    entries[0]->lose_request();
+    const millis told_at = entries[0]->core.now() + 1000ms;
+    run_until([&] { return entries[0]->core.now() > told_at; });
+    entries[0].reset();
+    entries[1]->state.remove_backend("s1");
+    EXPECT_EQ(entries[1]->state.crashes().crashes(harmful[0].hash, entries[1]->core.now()), 1U);
+}
+
+// Guards against a crash that an entry does not count because the message that told it of the
+// server's end was lost.
+TEST_F(two_entries, tell_an_entry_that_starts_later_which_servers_have_ended)
+{
+    start(0);
+    entries[0]->state.backend_unreachable(entries[0]->server(), true);
+    start(1);
+    entries[1]->lose_request();
+    EXPECT_TRUE(run_until([&] {
+        return entries[1]->state.crashes().crashes(harmful[0].hash, entries[1]->core.now()) == 1;
+    }));
+}
+
 // A connection that times out may be due to the links of the entry itself.
 TEST_F(two_entries, count_no_crash_for_a_connection_that_timed_out)
 {
     start(0);
-    entries[0]->state.request_lost(harmful, entries[0]->server().incarnation());
+    entries[0]->lose_request();
     entries[0]->state.backend_unreachable(entries[0]->server(), false);
     EXPECT_EQ(entries[0]->state.crashes().size(), 0U);
 }
--- a/Tests/Relay/quarantine_archive_test.cpp
+++ b/Tests/Relay/quarantine_archive_test.cpp
@@ -59,13 +59,13 @@
         archive.start();
     }
 
-    void crash_servers()
+    void crash_servers(std::uint64_t first = 1, std::uint64_t last = 3)
     {
         wire::crash_evidence evidence;
         wire::suspect_record& record = *evidence.add_suspects();
         record.set_suspect(harmful);
         record.set_position(2);
-        for (std::uint64_t server = 1; server <= 3; ++server) {
+        for (std::uint64_t server = first; server <= last; ++server) {
             record.add_crashes()->set_server(server);
         }
         state.merge_crash_evidence(evidence);
@@ -160,3 +160,20 @@
     entry.archive.store_restored();
     EXPECT_EQ(store.calls, calls);
 }
+
+// Guards against crashes that are counted from zero when all entries have restarted between them.
+TEST(quarantine_archive, keeps_what_is_one_crash_short_of_the_quarantine)
+{
+    scripted_store store;
+    {
+        archived_entry first(store);
+        first.crash_servers(1, 2);
+        EXPECT_TRUE(first.run_until([&] { return store.kept.size() == 1; }));
+    }
+    archived_entry next(store);
+    EXPECT_FALSE(next.quarantines());
+    next.crash_servers(3, 3);
+    EXPECT_TRUE(next.quarantines());
+    EXPECT_TRUE(next.run_until([&] { return store.kept.at(harmful).crashes_size() == 3; }))
+        << "the record tells of the crash that led to the quarantine, too";
+}
