Count a crash by whatever shows that its server has ended

What operators saw: a request that ended its servers was sent on without end. Cause, first part: a server's end counted only as a refused connection, a later start under the same id or a removed entry, and none of these if the server had said that it leaves. Its new address, another server at its address and a 421, which only another server sends, counted for nothing.

Now any of these ends the incarnation, whatever it had said of itself. An entry that expires while its source is away is no sign any more: the server may live. It counts once the entry is given up after the source's return.

--- a/Source/backend_table.cpp
+++ b/Source/backend_table.cpp
@@ -95,14 +95,22 @@
     }
 }
 
-void backend_table::sweep(millis now)
+std::vector<std::unique_ptr<backend>> backend_table::sweep(millis now)
 {
+    std::vector<std::unique_ptr<backend>> removed;
     if (source_down_ || now < grace_until_) {
-        return;
+        return removed;
+    }
+    for (auto& [id, server] : servers_) {
+        if (server->missing) {
+            removed.push_back(std::move(server));
+        }
     }
-    if (std::erase_if(servers_, [](const auto& item) { return item.second->missing; }) > 0) {
+    if (!removed.empty()) {
+        std::erase_if(servers_, [](const auto& item) { return item.second == nullptr; });
         indexes_valid_ = false;
     }
+    return removed;
 }
 
 void backend_table::rebuild_indexes() const
--- a/Source/backend_table.h
+++ b/Source/backend_table.h
@@ -99,8 +99,8 @@
     void source_regained(millis now);
     /// Starts the grace period in which expired entries stay.
     void start_grace(millis now) { grace_until_ = now + options_.return_grace; }
-    /// Removes servers that are still missing after the grace period.
-    void sweep(millis now);
+    /// Removes servers that are still missing after the grace period, and returns their last state.
+    std::vector<std::unique_ptr<backend>> sweep(millis now);
 
     backend* find(const std::string& id);
     /// Finds a server by the low 32 bits of the hash of its id, the key used between entries.
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -355,6 +355,7 @@
 void relay_exchange::note_server_words(const http_head& head, const response_metadata& metadata)
 {
     if (head.status == misdirected) {
+        context_.state.backend_misdirected(backend_id_, backend_incarnation_);
         return;
     }
     if (metadata.leaving) {
--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -14,13 +14,6 @@
 
 constexpr millis sweep_interval = 200ms;
 
-void log_server_end(const backend& server, std::string_view sign, std::size_t counted)
-{
-    log_event(event_id::server_ended,
-              "backend={} incarnation={:016x} sign={} draining={} counted={}", server.entry.id,
-              server.incarnation(), sign, server.entry.draining, counted);
-}
-
 } // namespace
 
 void relay_state::start()
@@ -29,7 +22,9 @@
         if (complete_ && source_age() > options_.fresh_for) {
             mark_source_lost("silent");
         }
-        backends_.sweep(core_.now());
+        for (const auto& server : backends_.sweep(core_.now())) {
+            on_server_ended(server->entry.id, server->incarnation(), server_end_sign::removed);
+        }
         locations_.sweep(core_.now());
         note_versions();
         origins_.sweep(core_.now());
@@ -86,19 +81,18 @@
     const bool changed = known == nullptr || known->entry.draining != entry.draining ||
                          known->entry.started_at != entry.started_at ||
                          (known->entry.cold_for == 0ms) != (entry.cold_for == 0ms);
-    const bool replaced = known != nullptr && known->entry.started_at < entry.started_at;
-    if (replaced && known->entry.draining) {
-        log_server_end(*known, "restarted", 0);
-    }
-    if (replaced && !known->entry.draining) {
-        publish(record_server_end(*known, "restarted"));
-    }
+    const std::optional<std::uint64_t> before =
+        known == nullptr ? std::nullopt : std::optional(known->incarnation());
     if (known != nullptr && known->entry.software_version != entry.software_version) {
         origins_.note_version(known->entry.service, known->entry.software_version, core_.now());
     }
     const backend_table::put_result result = backends_.put(entry, core_.now());
     if (result == backend_table::put_result::new_incarnation) {
         locations_.remove_server(static_cast<std::uint32_t>(hash_of(entry.id)));
+        if (before) {
+            on_server_ended(entry.id, *before, server_end_sign::restarted);
+        }
+        end_predecessors(entry);
     }
     if (result != backend_table::put_result::stale && changed) {
         log_event(event_id::backend_listed,
@@ -142,18 +136,25 @@
     if (refused) {
         backend_table::record_refusal(server, core_.now());
     }
-    if (refused && server.entry.draining) {
-        log_server_end(server, "refused", 0);
-    }
-    if (!refused || server.entry.draining) {
-        return;
+    if (refused) {
+        on_server_ended(server.entry.id, server.incarnation(), server_end_sign::refused);
     }
-    // The source tells all entries when a server restarts or leaves, but not that it refuses.
-    const std::uint64_t incarnation = server.incarnation();
-    const bool known = crashes_.known_down(incarnation);
-    const auto counted = record_server_end(server, "refused");
-    if (!known || !counted.empty()) {
-        publish(counted, incarnation);
+}
+
+void relay_state::backend_misdirected(const std::string& id, std::uint64_t incarnation)
+{
+    on_server_ended(id, incarnation, server_end_sign::misdirected);
+}
+
+// Ends the servers that had the address of a server that has just started.
+void relay_state::end_predecessors(const backend_entry& entry)
+{
+    for (const auto& [id, server] : backends_.all()) {
+        if (id == entry.id || server->entry.started_at > entry.started_at ||
+            server->entry.address.text() != entry.address.text()) {
+            continue;
+        }
+        on_server_ended(id, server->incarnation(), server_end_sign::address_reused);
     }
 }
 
@@ -182,12 +183,20 @@
     check_quarantine();
 }
 
-std::vector<std::uint64_t> relay_state::record_server_end(const backend& server,
-                                                          std::string_view sign)
+void relay_state::on_server_ended(const std::string& id, std::uint64_t incarnation,
+                                  server_end_sign sign)
 {
-    std::vector<std::uint64_t> counted = crashes_.on_server_down(server.incarnation(), core_.now());
-    log_server_end(server, sign, counted.size());
-    return counted;
+    const bool known = crashes_.known_down(incarnation);
+    const std::vector<std::uint64_t> counted = crashes_.on_server_down(incarnation, core_.now());
+    if (known && counted.empty()) {
+        return;
+    }
+    log_event(event_id::server_ended, "backend={} incarnation={:016x} sign={} counted={}", id,
+              incarnation, name_of(server_end_sign_names, sign), counted.size());
+    // The source tells all entries of the other signs.
+    const bool tells_peers =
+        sign == server_end_sign::refused || sign == server_end_sign::misdirected;
+    publish(counted, tells_peers ? std::optional(incarnation) : std::nullopt);
 }
 
 // Tells the peers what has become known of these suspects, and that a server is down.
@@ -240,16 +249,15 @@
     if (known == nullptr) {
         return;
     }
-    if (known->entry.draining) {
-        log_server_end(*known, "removed", 0);
-    }
-    else {
-        publish(record_server_end(*known, "removed"));
-    }
     origins_.note_version(known->entry.service, known->entry.software_version, core_.now());
+    const std::uint64_t incarnation = known->incarnation();
     backends_.drop(id, core_.now());
-    log_event(event_id::backend_gone, "backend={} kept_for_now={} source_age_ms={}", id,
-              backends_.find(id) != nullptr, source_age().count());
+    const bool kept = backends_.find(id) != nullptr;
+    log_event(event_id::backend_gone, "backend={} kept_for_now={} source_age_ms={}", id, kept,
+              source_age().count());
+    if (!kept) { // else its entry may only have expired
+        on_server_ended(id, incarnation, server_end_sign::removed);
+    }
 }
 
 void relay_state::update_zones_out(std::set<std::string> zones)
--- a/Source/relay_state.h
+++ b/Source/relay_state.h
@@ -2,6 +2,7 @@
 
 #include "backend_table.h"
 #include "crash_detector.h"
+#include "enum_names.h"
 #include "kernel.h"
 #include "prefix_locations.h"
 #include "route_table.h"
@@ -27,6 +28,25 @@
     crash_detector_options crashes;
 };
 
+/// What shows that an incarnation of a backend server has ended.
+enum class server_end_sign {
+    restarted,      // it is listed again, with a later start or another address
+    removed,        // its entry was removed or has expired
+    refused,        // its machine refused a connection
+    address_reused, // a server that started later has its address
+    misdirected,    // another server answers at its address
+    peer,           // a peer knows
+};
+
+inline constexpr std::array server_end_sign_names{
+    enum_name<server_end_sign>{server_end_sign::restarted, "restarted"},
+    enum_name<server_end_sign>{server_end_sign::removed, "removed"},
+    enum_name<server_end_sign>{server_end_sign::refused, "refused"},
+    enum_name<server_end_sign>{server_end_sign::address_reused, "address_reused"},
+    enum_name<server_end_sign>{server_end_sign::misdirected, "misdirected"},
+    enum_name<server_end_sign>{server_end_sign::peer, "peer"},
+};
+
 /// The state of an entry that sends requests directly to backend servers: configuration,
 /// operators' orders, backend servers and prefix locations, with the time at which a source last
 /// confirmed it.  The source of an entry is the store from which it reads this state.  Passive:
@@ -96,6 +116,8 @@
     /// Reports that a connection to the server could not be established; `refused` is true if
     /// its machine answered that no process listens there.
     void backend_unreachable(backend& server, bool refused);
+    /// Reports that another server has answered at the address of this incarnation.
+    void backend_misdirected(const std::string& id, std::uint64_t incarnation);
     /// Reports that the response to a request with these suspects is missing, or has ended without
     /// a mark of its end, at one incarnation of a server.
     void request_lost(const std::vector<suspect>& suspects, std::uint64_t incarnation);
@@ -134,8 +156,8 @@
     void publish(const std::vector<std::uint64_t>& suspects,
                  std::optional<std::uint64_t> server_down = std::nullopt);
     void check_quarantine();
-    // Records that an incarnation of a server has ended, and logs by what sign that shows.
-    std::vector<std::uint64_t> record_server_end(const backend& server, std::string_view sign);
+    void on_server_ended(const std::string& id, std::uint64_t incarnation, server_end_sign sign);
+    void end_predecessors(const backend_entry& entry);
     void note_versions();
     void mark_source_lost(const std::string& why);
     void mark_source_regained();
--- a/Tests/Relay/crash_signs_test.cpp
+++ b/Tests/Relay/crash_signs_test.cpp
@@ -241,6 +241,7 @@
         }
         else if (way == "address_used_again") {
             entry.id = id + "-next";
+            entry.service = "office";
             ++entry.started_at;
             fleet.state().update_backend(entry);
         }
