Recognise a request that crashes servers also without a body

What operators saw: a request that ended its servers was sent on without end. Cause, second part: a request without a body was no suspect, because many callers send identical ones, and one with a prompt was known by the prompt's last part, too, which may differ when it comes again.

A request is now known by its path, caller and body, which may be empty, beside the narrower mark with the end of its prompt.

--- a/Source/crash_register.cpp
+++ b/Source/crash_register.cpp
@@ -64,9 +64,7 @@
         std::erase_if(last_successes_, [&](const auto& row) { return now - row.second >= oldest; });
     }
     for (const suspect& each : suspects) {
-        if (each.position > 0) {
-            last_successes_[each.hash] = now;
-        }
+        last_successes_[each.hash] = now;
         const auto found = entries_.find(each.hash);
         if (found == entries_.end()) {
             continue;
--- a/Source/crash_register.h
+++ b/Source/crash_register.h
@@ -30,7 +30,7 @@
     millis success_retention = 60000ms;
     millis retention = 3600000ms;     // retention of crashes
     std::size_t max_suspects = 4096;  // beyond that the oldest are evicted
-    std::size_t max_successes = 8192; // parts whose success is stored; the oldest are dropped
+    std::size_t max_successes = 8192; // suspects whose success is stored; the oldest are dropped
 };
 
 /// Attributes crashes of backend servers to what the requests lost in them have in common.  A
@@ -95,7 +95,7 @@
 
     crash_register_options options_;
     std::map<std::uint64_t, entry> entries_;                   // by hash of the suspect
-    std::unordered_map<std::uint64_t, millis> last_successes_; // by part of prompts
+    std::unordered_map<std::uint64_t, millis> last_successes_; // by suspect
     // The quarantine as of `evaluated_at_`; empty after a change of the evidence.
     mutable std::optional<std::set<std::uint64_t>> quarantine_;
     mutable millis evaluated_at_{0};
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -615,25 +615,22 @@
 }
 
 // What this request has in common with others that may crash servers: itself, if it is repeated,
-// and the parts of its prompt but the last.  A request without a body is no suspect, because many
-// callers send identical ones.
+// with the same end of its prompt or another, and the parts of its prompt but the last.
 const std::vector<suspect>& relay_exchange::suspects()
 {
     if (suspects_) {
         return *suspects_;
     }
     suspects_.emplace();
-    if (!body_.empty()) {
-        const std::uint64_t account = hash_of(account_ == nullptr ? "" : account_->name);
-        const std::uint64_t target = combine_hashes(account, hash_of(caller_->request().target));
-        std::uint64_t fingerprint = combine_hashes(target, hash_of(body_));
-        if (!metadata_.prompt.empty()) {
-            fingerprint = combine_hashes(fingerprint, metadata_.prompt.back().hash);
-        }
-        suspects_->push_back({.hash = fingerprint});
+    const std::uint64_t account = hash_of(account_ == nullptr ? "" : account_->name);
+    const std::uint64_t target = combine_hashes(account, hash_of(caller_->request().target));
+    const std::uint64_t fingerprint = combine_hashes(target, hash_of(body_));
+    if (!metadata_.prompt.empty()) {
+        suspects_->push_back({.hash = combine_hashes(fingerprint, metadata_.prompt.back().hash)});
     }
+    suspects_->push_back({.hash = fingerprint});
     for (std::size_t index = 0; index + 1 < metadata_.prompt.size(); ++index) {
-        if (suspects_->size() > max_suspect_parts) {
+        if (suspects_->size() > max_suspect_parts + 1) {
             break;
         }
         suspects_->push_back(
