Join an attempt and the end of its server, whatever each looks like

What operators saw: a request that ended its servers was sent on without end. An own failure, a promise that proves nothing, a rejection or a whole response before the server's end counted for nothing; so did an attempt that was still open, one that ended long after its server, news that came late, and a loss at an entry that ended. A crash without any sign, as of a server that starts again at once while the source is away, was not looked for.

The crash detector now knows each attempt from its start. Whatever ends it, unless the request has not run, counts once the server has ended, in either sequence, up to a minute apart; an attempt still open at that moment counts at once. A success clears a suspect only when its server has outlived it: it is heard half a second later, or not known to have ended 6 s later. Losses are told to the peers and repeated with the known ends; an attempt with a suspect that has crashed a server before is told when it begins. A loss without a sign counts for its request alone, and only if the service has served another request that was sent later, so that an outage convicts nobody; impatient callers are told by the server's short silence.

crash_watch.lost_answers_of_servers_that_live_tell_nothing named a window of 8 s as "outside"; that window is the fault. It now takes the option's value, and 1 ms. quarantine_archive.removes_what_a_success_has_cleared lets the server live on.

--- a/Source/agent_core.cpp
+++ b/Source/agent_core.cpp
@@ -504,6 +504,13 @@
     send_answer(id, job);
 }
 
+// Hash that identifies the backend server since its last start, as far as health probes show it.
+std::uint64_t agent_core::backend_incarnation() const
+{
+    return combine_hashes(combine_hashes(hash_of(options_.instance), options_.incarnation),
+                          backend_starts_);
+}
+
 void agent_core::on_run_end(attempt_id id, run_outcome end, millis now)
 {
     const auto found = jobs_.find(id);
@@ -521,7 +528,8 @@
     case run_outcome::complete:
         limits_.ramp().completed(now);
         if (job.status < first_redirection) {
-            publish_crash_evidence(crashes_.record_success(suspects_of(job.request), now), now);
+            publish_crash_evidence(crashes_.record_success(suspects_of(job.request), now, now),
+                                   now);
         }
         end_job(id, job, wire::complete, now);
         break;
@@ -533,10 +541,8 @@
         break;
     case run_outcome::crashed: {
         job.crashed = true;
-        const std::uint64_t server = combine_hashes(
-            combine_hashes(hash_of(options_.instance), options_.incarnation), backend_starts_);
-        publish_crash_evidence(crashes_.record_crash(suspects_of(job.request), server, now, now),
-                               now);
+        publish_crash_evidence(
+            crashes_.record_crash(suspects_of(job.request), backend_incarnation(), now, now), now);
         ++metrics_.named("backend_crashes");
         end_job(id, job, wire::failed_maybe_run, now);
         break;
--- a/Source/agent_core.h
+++ b/Source/agent_core.h
@@ -131,6 +131,7 @@
     void run(attempt_id id, agent_job& job);
     void start_queued_jobs(millis now);
     void publish_crash_evidence(const std::vector<std::uint64_t>& suspects, millis now);
+    std::uint64_t backend_incarnation() const;
     void end_job(attempt_id id, agent_job& job, wire::answer_end end, millis now);
     void record_tombstone(attempt_id id, millis now);
     void refuse_job(attempt_id id, wire::refusal reason, millis now);
--- a/Source/crash_register.cpp
+++ b/Source/crash_register.cpp
@@ -56,7 +56,7 @@
 }
 
 std::vector<std::uint64_t> crash_register::record_success(const std::vector<suspect>& suspects,
-                                                          millis now)
+                                                          millis at, millis now)
 {
     std::vector<std::uint64_t> cleared;
     for (millis oldest = options_.success_retention;
@@ -64,15 +64,18 @@
         std::erase_if(last_successes_, [&](const auto& row) { return now - row.second >= oldest; });
     }
     for (const suspect& each : suspects) {
-        last_successes_[each.hash] = now;
+        millis& last = last_successes_.try_emplace(each.hash, at).first->second;
+        last = std::max(last, at);
         const auto found = entries_.find(each.hash);
         if (found == entries_.end()) {
             continue;
         }
-        if (!uncleared_crashes(found->second, {}, now).empty()) {
+        entry& row = found->second;
+        const std::size_t before = uncleared_crashes(row, {}, now).size();
+        row.last_success = std::max(row.last_success.value_or(at), at);
+        if (uncleared_crashes(row, {}, now).size() < before) {
             cleared.push_back(each.hash);
         }
-        found->second.last_success = now;
     }
     if (!cleared.empty()) {
         quarantine_.reset();
@@ -117,6 +120,14 @@
     return row.last_success && now - *row.last_success <= options_.success_retention;
 }
 
+unsigned crash_register::threshold(const entry& row, bool is_proven) const
+{
+    if (is_proven) {
+        return options_.proven_threshold;
+    }
+    return row.position == 0 ? options_.request_threshold : options_.part_threshold;
+}
+
 // The times of the suspect's crashes since the last success that no other suspect explains.
 std::vector<millis> crash_register::uncleared_crashes(const entry& row,
                                                       const std::set<std::uint64_t>& explained,
@@ -148,10 +159,7 @@
                       .crashes = static_cast<unsigned>(times.size()),
                       .proven = proven(row, now),
                       .position = row.position};
-        unsigned threshold =
-            row.position == 0 ? options_.request_threshold : options_.part_threshold;
         if (one.proven) {
-            threshold = options_.proven_threshold;
             one.crashes = 0;
             std::optional<millis> last;
             for (const millis at : times) {
@@ -161,7 +169,7 @@
                 }
             }
         }
-        if (one.crashes >= threshold && (!best || one > *best)) {
+        if (one.crashes >= threshold(row, one.proven) && (!best || one > *best)) {
             best = one;
         }
     }
@@ -210,6 +218,21 @@
                : static_cast<unsigned>(uncleared_crashes(found->second, {}, now).size());
 }
 
+std::set<std::uint64_t> crash_register::near_quarantine(millis now) const
+{
+    std::set<std::uint64_t> result = quarantine(now);
+    for (const auto& [hash, row] : entries_) {
+        if (proven(row, now)) {
+            continue;
+        }
+        const std::size_t crashes = uncleared_crashes(row, {}, now).size();
+        if (crashes > 0 && crashes + 1 >= threshold(row, false)) {
+            result.insert(hash);
+        }
+    }
+    return result;
+}
+
 wire::suspect_record crash_register::record(std::uint64_t hash, millis now) const
 {
     wire::suspect_record result;
--- a/Source/crash_register.h
+++ b/Source/crash_register.h
@@ -48,8 +48,10 @@
     /// at `at` while it ran a request with these suspects.  Returns those for which that is new.
     std::vector<std::uint64_t> record_crash(const std::vector<suspect>& suspects,
                                             std::uint64_t server, millis at, millis now);
-    /// Records that a request with these suspects completed.  Returns those that this clears.
-    std::vector<std::uint64_t> record_success(const std::vector<suspect>& suspects, millis now);
+    /// Records that a request with these suspects completed at `at`.  Returns those that this
+    /// clears.
+    std::vector<std::uint64_t> record_success(const std::vector<suspect>& suspects, millis at,
+                                              millis now);
     /// Merges what a peer knows of a suspect; returns true if any of it is new.
     bool merge(const wire::suspect_record& record, millis now);
 
@@ -61,6 +63,8 @@
     const std::set<std::uint64_t>& quarantine(millis now) const;
     /// Number of known crashes since the last success of a request with the suspect.
     unsigned crashes(std::uint64_t hash, millis now) const;
+    /// The suspects that are quarantined, or would be after one more crash.
+    std::set<std::uint64_t> near_quarantine(millis now) const;
     std::size_t size() const { return entries_.size(); }
 
     /// What is known of a suspect, for a peer.
@@ -90,6 +94,7 @@
                                               const std::set<std::uint64_t>& explained,
                                               millis now) const;
     bool proven(const entry& row, millis now) const;
+    unsigned threshold(const entry& row, bool is_proven) const;
     bool add_crash(std::uint64_t hash, unsigned position, std::uint64_t server, millis at);
     void evict(millis now);
 
--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -312,14 +312,14 @@
     }
 }
 
-// Sends a peer what is known of up to `count` suspects; `start` selects them in turn.
+// Sends a peer what is known of up to `count` suspects, and what was observed recently; `start`
+// selects them in turn.
 void peer_gossip::send_crash_evidence(peer& to, std::size_t start, std::size_t count)
 {
-    wire::envelope message;
-    for (wire::suspect_record& record : state_->crashes().records(start, count, core_.now())) {
-        *message.mutable_crash_evidence()->add_suspects() = std::move(record);
-    }
-    if (message.has_crash_evidence()) {
+    wire::crash_evidence news = state_->crash_news(start, count);
+    if (news.suspects_size() + news.down_size() + news.losses_size() > 0) {
+        wire::envelope message;
+        *message.mutable_crash_evidence() = std::move(news);
         to.socket->send({}, std::move(message));
     }
 }
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -284,6 +284,8 @@
     heard_at_ = sent_at_;
     backend_id_ = server.entry.id;
     backend_incarnation_ = server.incarnation();
+    attempt_ = context_.state.begin_attempt(
+        {.suspects = suspects(), .server = backend_incarnation_, .service = hash_of(service_)});
     trial_ = choice.trial;
     software_version_ = server.entry.software_version;
     if (route_->kind == route_kind::stream && route_->resumable) {
@@ -358,6 +360,7 @@
         context_.state.backend_misdirected(backend_id_, backend_incarnation_);
         return;
     }
+    context_.state.backend_heard(backend_incarnation_);
     if (metadata.leaving) {
         context_.state.backend_leaves(backend_id_, backend_incarnation_);
     }
@@ -553,24 +556,13 @@
         context_.state.backends().record_outcome(
             *server, bad ? backend_outcome::failure : backend_outcome::success, now);
     }
+    end_attempt(evidence_of(outcome, failure),
+                failure ? name_of(attempt_outcome_names, *failure) : "unmarked");
     release_call(false);
     if (!failure) {
-        if (outcome == http_call_result::closed) {
-            log_unanswered("unmarked");
-            record_possible_crash();
-        }
-        else if (status_ < first_redirection) {
-            context_.state.request_completed(suspects());
-        }
         finish_response();
         return;
     }
-    if (failure != attempt_outcome::not_sent && failure != attempt_outcome::rejected) {
-        log_unanswered(name_of(attempt_outcome_names, *failure));
-    }
-    if (failure == attempt_outcome::lost) {
-        record_possible_crash();
-    }
     std::vector<std::uint64_t> parts;
     for (const prompt_segment& part : metadata_.prompt) {
         parts.push_back(part.hash);
@@ -655,20 +647,39 @@
     return true;
 }
 
-void relay_exchange::log_unanswered(std::string_view how)
+// What the end of a call tells about the request.
+attempt_end relay_exchange::evidence_of(http_call_result outcome,
+                                        std::optional<attempt_outcome> failure) const
+{
+    if (failure == attempt_outcome::not_sent || failure == attempt_outcome::rejected) {
+        return attempt_end::not_run;
+    }
+    if (failure == attempt_outcome::lost || outcome != http_call_result::complete) {
+        return attempt_end::lost;
+    }
+    return !failure && status_ < first_redirection ? attempt_end::completed : attempt_end::answered;
+}
+
+// The same of a call that is given up before its end.
+attempt_end relay_exchange::evidence_of_silence() const
 {
-    log_event(event_id::attempt_unanswered,
-              "request={} backend={} incarnation={:016x} end={} silent_ms={} suspect={:016x}",
-              metadata_.id, backend_id_, backend_incarnation_, how,
-              (context_.core.now() - heard_at_).count(),
-              suspects().empty() ? 0 : suspects().front().hash);
+    return context_.core.now() - heard_at_ >= context_.options.long_silence ? attempt_end::lost
+                                                                            : attempt_end::given_up;
 }
 
-// Reports that the server may have crashed while it ran this request.  Whether it did shows in
-// other signs.
-void relay_exchange::record_possible_crash()
+// Reports how the attempt ended; `name` tells it in the log.
+void relay_exchange::end_attempt(attempt_end how, std::string_view name)
 {
-    context_.state.request_lost(suspects(), backend_incarnation_);
+    if (!attempt_) {
+        return;
+    }
+    if (how != attempt_end::completed && how != attempt_end::not_run) {
+        log_event(event_id::attempt_unanswered,
+                  "request={} backend={} incarnation={:016x} end={} silent_ms={} suspect={:016x}",
+                  metadata_.id, backend_id_, backend_incarnation_, name,
+                  (context_.core.now() - heard_at_).count(), suspects().front().hash);
+    }
+    context_.state.end_attempt(*std::exchange(attempt_, std::nullopt), how);
 }
 
 void relay_exchange::refuse(int status, const std::string& reason)
@@ -733,10 +744,7 @@
         return;
     }
     const bool open = connection_ != nullptr;
-    if (open) {
-        log_unanswered("deadline");
-        record_possible_crash();
-    }
+    end_attempt(evidence_of_silence(), "deadline");
     release_call(true);
     if (response_head_sent_) {
         caller_->abort_response();
@@ -749,10 +757,7 @@
 void relay_exchange::on_caller_disconnect()
 {
     // The caller may have left because the server is silent.
-    if (connection_ != nullptr) {
-        log_unanswered("caller_left");
-        record_possible_crash();
-    }
+    end_attempt(evidence_of_silence(), "caller_left");
     release_call(true);
     end("caller_left");
 }
@@ -763,9 +768,7 @@
         return;
     }
     const bool open = connection_ != nullptr;
-    if (open) {
-        log_unanswered(why);
-    }
+    end_attempt(evidence_of_silence(), why);
     release_call(true);
     if (response_head_sent_) {
         caller_->abort_response();
@@ -781,6 +784,7 @@
         return;
     }
     end_trial(false);
+    end_attempt(attempt_end::not_run, "");
     backend* server = context_.state.backends().find(backend_id_);
     if (server != nullptr && server->in_flight > 0) {
         --server->in_flight;
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -3,7 +3,7 @@
 #include "backend_chooser.h"
 #include "caller_connection.h"
 #include "client_connection.h"
-#include "crash_register.h"
+#include "crash_detector.h"
 #include "direct_attempts.h"
 #include "event_stream_splitter.h"
 #include "header_codec.h"
@@ -42,6 +42,9 @@
     // callers make few attempts, and outages of the source last seconds.  Values are spread from
     // two thirds of it up to all of it.
     double unconfigured_retry_after_share = 0.3;
+    // Silence of a backend server after which a call that is given up counts as lost: shorter ones
+    // are due to impatient callers.
+    millis long_silence = 1000ms;
     // Bytes buffered for a slow caller above which reading from the backend server is paused.
     std::size_t max_unsent = 262144;
     // Longest event of an event stream that is held back until it is complete.
@@ -105,8 +108,9 @@
     void finish_response();
     const std::vector<suspect>& suspects();
     bool refuse_quarantined();
-    void record_possible_crash();
-    void log_unanswered(std::string_view how);
+    attempt_end evidence_of(http_call_result outcome, std::optional<attempt_outcome> failure) const;
+    attempt_end evidence_of_silence() const;
+    void end_attempt(attempt_end how, std::string_view name);
     void refuse(int status, const std::string& reason);
     void refuse(const relay_refusal& why);
     millis retry_after() const;
@@ -153,6 +157,7 @@
     std::string service_;          // chosen among the services of the route
     std::string software_version_; // of that server
     std::optional<std::string> stream_version_; // the only one that can continue the stream
+    std::optional<crash_detector::attempt_number> attempt_; // open at the server
     millis sent_at_{0};
     millis heard_at_{0}; // when bytes of its response last arrived
     body_mode mode_ = body_mode::discard;
--- a/Source/relay_server.cpp
+++ b/Source/relay_server.cpp
@@ -204,6 +204,7 @@
     for (relay_exchange* exchange : open) {
         exchange->abort("stopped");
     }
+    state_->publish_losses(); // only this process knows them
     aborted_at_ = core_.now();
 }
 
--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -28,6 +28,8 @@
         locations_.sweep(core_.now());
         note_versions();
         origins_.sweep(core_.now());
+        publish(crashes_.sweep(core_.now()));
+        publish_losses();
         check_quarantine();
     });
 }
@@ -87,6 +89,10 @@
         origins_.note_version(known->entry.service, known->entry.software_version, core_.now());
     }
     const backend_table::put_result result = backends_.put(entry, core_.now());
+    if (before == std::nullopt) {
+        // Its entry may have expired although it lives.
+        crashes_.on_server_alive(backends_.find(entry.id)->incarnation());
+    }
     if (result == backend_table::put_result::new_incarnation) {
         locations_.remove_server(static_cast<std::uint32_t>(hash_of(entry.id)));
         if (before) {
@@ -158,28 +164,40 @@
     }
 }
 
-void relay_state::request_lost(const std::vector<suspect>& suspects, std::uint64_t incarnation)
+void relay_state::end_attempt(crash_detector::attempt_number attempt, attempt_end how)
 {
-    publish(crashes_.record_loss(suspects, incarnation, core_.now()));
+    publish(crashes_.end(attempt, how, core_.now()));
 }
 
-void relay_state::request_completed(const std::vector<suspect>& suspects)
+void relay_state::publish_losses()
 {
-    publish(crashes_.record_success(suspects, core_.now()));
+    const wire::crash_evidence news = crashes_.take_news(core_.now());
+    if (news.losses_size() > 0) {
+        crash_evidence_found.emit(news);
+    }
 }
 
-void relay_state::merge_crash_evidence(const wire::crash_evidence& evidence)
+wire::crash_evidence relay_state::crash_news(std::size_t start, std::size_t suspects) const
 {
     const millis now = core_.now();
-    std::vector<std::uint64_t> counted;
-    for (const wire::crash_sighting& down : evidence.down()) {
-        const auto here = crashes_.on_server_down(down.server(), now);
-        counted.insert(counted.end(), here.begin(), here.end());
+    wire::crash_evidence news;
+    for (wire::suspect_record& record : crashes_.evidence().records(start, suspects, now)) {
+        *news.add_suspects() = std::move(record);
     }
-    for (const wire::suspect_record& record : evidence.suspects()) {
-        crashes_.merge(record, now);
+    crashes_.add_recent(news, start, suspects, now);
+    return news;
+}
+
+void relay_state::merge_crash_evidence(const wire::crash_evidence& evidence)
+{
+    for (const wire::crash_sighting& down : evidence.down()) {
+        if (!crashes_.known_down(down.server())) {
+            log_event(event_id::server_ended, "backend=? incarnation={:016x} sign={} age_ms={}",
+                      down.server(), name_of(server_end_sign_names, server_end_sign::peer),
+                      down.age_ms());
+        }
     }
-    publish(counted);
+    publish(crashes_.merge(evidence, core_.now()));
     check_quarantine();
 }
 
--- a/Source/relay_state.h
+++ b/Source/relay_state.h
@@ -118,11 +118,20 @@
     void backend_unreachable(backend& server, bool refused);
     /// Reports that another server has answered at the address of this incarnation.
     void backend_misdirected(const std::string& id, std::uint64_t incarnation);
-    /// Reports that the response to a request with these suspects is missing, or has ended without
-    /// a mark of its end, at one incarnation of a server.
-    void request_lost(const std::vector<suspect>& suspects, std::uint64_t incarnation);
-    /// Reports that a request with these suspects completed.
-    void request_completed(const std::vector<suspect>& suspects);
+    /// Reports that a request is sent to a server; returns the number of the attempt.
+    crash_detector::attempt_number begin_attempt(attempt_subject subject)
+    {
+        return crashes_.begin(std::move(subject), core_.now());
+    }
+    /// Reports a sign of life of this incarnation of a server.
+    void backend_heard(std::uint64_t incarnation)
+    {
+        publish(crashes_.on_server_heard(incarnation, core_.now()));
+    }
+    /// Reports the end of the attempt.
+    void end_attempt(crash_detector::attempt_number attempt, attempt_end how);
+    /// Tells the peers at once what only this entry knows of lost requests.
+    void publish_losses();
     /// Merges what a peer, or an earlier process, knows about crashes.
     void merge_crash_evidence(const wire::crash_evidence& evidence);
     /// The first of the suspects that is quarantined, if any.
@@ -132,6 +141,9 @@
     }
     /// What crashes servers, as concluded from the observations of all entries.
     const crash_register& crashes() const { return crashes_.evidence(); }
+    /// What was observed recently, and `suspects` of what is known, for a peer; `start` selects
+    /// both in turn.
+    wire::crash_evidence crash_news(std::size_t start, std::size_t suspects) const;
 
     /// The configuration in force; null until the first one arrives.
     std::shared_ptr<const route_table> routes() const { return routes_; }
--- a/Tests/Decisions/crash_watch_test.cpp
+++ b/Tests/Decisions/crash_watch_test.cpp
@@ -63,7 +63,8 @@
     }
     EXPECT_TRUE(detector.on_server_down(2, 1100ms).empty());
     EXPECT_EQ(detector.evidence().size(), 0U);
-    EXPECT_TRUE(detector.on_server_down(1, 20000ms).empty())
+    const millis late = 1001ms + crash_detector_options{}.news_delay;
+    EXPECT_TRUE(detector.on_server_down(1, late).empty())
         << "the crash is outside the detection window";
 }
 
--- a/Tests/Relay/peer_gossip_test.cpp
+++ b/Tests/Relay/peer_gossip_test.cpp
@@ -57,7 +57,12 @@
     }
 
     // A request with the harmful part is lost at the server.
-    void lose_request() { state.request_lost(harmful, server().incarnation()); }
+    void lose_request()
+    {
+        state.end_attempt(
+            state.begin_attempt({.suspects = harmful, .server = server().incarnation()}),
+            attempt_end::lost);
+    }
 
     // Three servers end while they run requests with the harmful part.
     void crash_servers()
--- a/Tests/Relay/quarantine_archive_test.cpp
+++ b/Tests/Relay/quarantine_archive_test.cpp
@@ -120,8 +120,13 @@
     scripted_store store;
     archived_entry entry(store);
     entry.crash_servers();
-    entry.state.request_completed({{.hash = harmful, .position = 2}});
-    EXPECT_FALSE(entry.quarantines());
+    entry.state.end_attempt(
+        entry.state.begin_attempt({.suspects = {{.hash = harmful, .position = 2}}, .server = 9}),
+        attempt_end::completed);
+    EXPECT_TRUE(entry.run_until([&] {
+        entry.state.backend_heard(9); // its server lives on
+        return !entry.quarantines();
+    }));
     EXPECT_TRUE(store.kept.empty());
 }
 
