Store suspects that are one crash short of the quarantine

What operators would see: a request that has ended two servers is counted from zero when all entries restart. Cause: the store kept what was quarantined, and nothing below. An entry that starts read no count of one or two.

The archive now keeps unproven suspects that one more crash would quarantine, writes them again when that has come, and removes them when a success clears them. Single crashes are not stored: each crash of a server would cost a write for each request in flight there.

--- a/Source/quarantine_archive.cpp
+++ b/Source/quarantine_archive.cpp
@@ -38,40 +38,44 @@
     if (!should_write) {
         return;
     }
-    const std::set<std::uint64_t>& quarantine = state_->crashes().quarantine(core_.now());
-    for (const std::uint64_t suspect : quarantine) {
-        if (stored_.contains(suspect)) {
+    const millis now = core_.now();
+    const std::set<std::uint64_t> kept = state_->crashes().near_quarantine(now);
+    for (const std::uint64_t suspect : kept) {
+        const bool quarantined = state_->crashes().quarantined(suspect, now);
+        const auto known = stored_.find(suspect);
+        if (known != stored_.end() && (known->second || !quarantined)) {
             continue;
         }
         call_open_ = true;
-        hooks_.store(state_->crashes().record(suspect, core_.now()),
-                     [this, suspect, restores = restores_](bool done) {
-                         on_written(suspect, true, done && restores == restores_);
+        hooks_.store(state_->crashes().record(suspect, now),
+                     [this, suspect, quarantined, restores = restores_](bool done) {
+                         on_written(suspect, quarantined, done && restores == restores_);
                      });
         return;
     }
-    for (const std::uint64_t suspect : stored_) {
-        if (quarantine.contains(suspect)) {
+    for (const auto& [suspect, quarantined] : stored_) {
+        if (kept.contains(suspect)) {
             continue;
         }
         call_open_ = true;
-        hooks_.remove(suspect, [this, suspect, restores = restores_](bool done) {
-            on_written(suspect, false, done && restores == restores_);
+        hooks_.remove(suspect, [this, suspect = suspect, restores = restores_](bool done) {
+            on_written(suspect, std::nullopt, done && restores == restores_);
         });
         return;
     }
 }
 
-void quarantine_archive::on_written(std::uint64_t suspect, bool stored, bool confirmed)
+void quarantine_archive::on_written(std::uint64_t suspect, std::optional<bool> quarantined,
+                                    bool confirmed)
 {
     call_open_ = false;
-    log_event(event_id::quarantine_stored, "suspect={:016x} stored={} confirmed={}", suspect,
-              stored, confirmed);
+    log_event(event_id::quarantine_stored, "suspect={:016x} stored={} quarantined={} confirmed={}",
+              suspect, quarantined.has_value(), quarantined.value_or(false), confirmed);
     if (!confirmed) {
         return; // the timer tries again
     }
-    if (stored) {
-        stored_.insert(suspect);
+    if (quarantined) {
+        stored_[suspect] = *quarantined;
     }
     else {
         stored_.erase(suspect);
@@ -99,11 +103,16 @@
         read_done_ = true;
         wire::crash_evidence evidence;
         for (const wire::suspect_record& record : *records) {
-            stored_.insert(record.suspect());
             *evidence.add_suspects() = record;
         }
         log_event(event_id::quarantine_read, "suspects={}", records->size());
         state_->merge_crash_evidence(evidence);
+        for (const wire::suspect_record& record : *records) {
+            const unsigned known = state_->crashes().crashes(record.suspect(), core_.now());
+            stored_[record.suspect()] =
+                static_cast<unsigned>(record.crashes_size()) >= known &&
+                state_->crashes().quarantined(record.suspect(), core_.now());
+        }
         synchronise();
     });
 }
--- a/Source/quarantine_archive.h
+++ b/Source/quarantine_archive.h
@@ -8,16 +8,17 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace cyclamen {
 
 class relay_state;
 
-/// Keeps what crashes servers beyond the life of all entries: reads the quarantined suspects from
-/// a store at the start, and stores those that the entries quarantine later.  Owned by the kernel
+/// Keeps what crashes servers beyond the life of all entries: reads the quarantined suspects, and
+/// those that are one crash short of it, from a store at the start, and stores those that the
+/// entries find later.  Owned by the kernel
 /// as "quarantine".
 class quarantine_archive : public service {
 public:
@@ -49,15 +50,17 @@
 private:
     void synchronise();
     void read();
-    void on_written(std::uint64_t suspect, bool stored, bool confirmed);
+    void on_written(std::uint64_t suspect, std::optional<bool> quarantined, bool confirmed);
 
     kernel& core_;
     hooks hooks_;
     relay_state* state_ = nullptr;
     bool read_done_ = false;
     bool call_open_ = false;
-    unsigned restores_ = 0;          // restores of the store that were noticed
-    std::set<std::uint64_t> stored_; // suspects that the store holds, as far as known here
+    unsigned restores_ = 0; // restores of the store that were noticed
+    // Suspects that the store holds, as far as known here, and whether they were quarantined when
+    // they were written.
+    std::map<std::uint64_t, bool> stored_;
     kernel::timer timer_;
 };
 
