Let an odd record of another program name no server and stop no reading

What operators of systems like this one saw: one odd entry among those of the servers, deeply nested, with a number too large or a port out of range, ended the processes that read the list again and again, or stopped them following it.

Cause: fields were converted without a look at their range (a negative capacity became four billion, a time of 1e300 ms was undefined), and each layer took one bad record for a bad answer.

--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -48,7 +48,8 @@
     int seconds = 0;
     const auto [stop, error] =
         std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-    return error == std::errc() ? std::optional<millis>(seconds * 1000) : std::nullopt;
+    return error == std::errc() ? std::optional<millis>(std::chrono::seconds(seconds))
+                                : std::nullopt;
 }
 
 } // namespace
--- a/Source/event_log.cpp
+++ b/Source/event_log.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cctype>
 #include <cerrno>
 #include <chrono>
 #include <iterator>
@@ -86,10 +87,15 @@
 
     void append(severity level, event_id id, std::string_view name, std::string_view fields)
     {
+        const std::size_t begin = text_.size();
         const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
             std::chrono::system_clock::now());
         fmt::format_to(std::back_inserter(text_), "{:%Y-%m-%dT%H:%M:%S}Z {} {} {} {}\n", now,
                        name_of(severity_names, level), static_cast<int>(id), name, fields);
+        // What others have written must not look like lines of its own.
+        std::replace_if(
+            text_.begin() + static_cast<std::ptrdiff_t>(begin), std::prev(text_.end()),
+            [](char letter) { return std::iscntrl(static_cast<unsigned char>(letter)) != 0; }, '?');
     }
 
     event_log_limits limits_;
--- a/Source/log_follower.cpp
+++ b/Source/log_follower.cpp
@@ -161,9 +161,12 @@
         mirror_.advance(record.offset + 1);
         mirror_.apply(std::move(record));
     }
+    const bool advanced = page.next_offset > mirror_.position().value_or(0);
+    mirror_.advance(page.next_offset);
     hooks_.on_records_applied();
     const bool more = mirror_.position().value_or(0) < page.log_end;
-    if (more && page.records.empty()) { // reading again at once would bring nothing either
+    // Otherwise reading again at once would bring nothing either.
+    if (more && page.records.empty() && !advanced) {
         schedule(options_.read_interval, &log_follower::read_next);
         return;
     }
--- a/Source/log_follower.h
+++ b/Source/log_follower.h
@@ -25,6 +25,8 @@
     std::string error;                             // error text of a failed call
     std::vector<mirrored_record> records;
     std::uint64_t log_end = 0; // offset after the log's last record
+    // Offset after the last record that was read, also if that could not be decoded.
+    std::uint64_t next_offset = 0;
     // Number of times that the log was restored from an older copy; empty if the log does not tell.
     std::optional<std::uint64_t> era;
     std::optional<std::string> next_page_after; // key after which the next list page starts
--- a/Source/net_address.cpp
+++ b/Source/net_address.cpp
@@ -19,7 +19,7 @@
     std::uint16_t port = 0;
     const char* end = digits.data() + digits.size();
     const auto [stop, error] = std::from_chars(digits.data(), end, port);
-    if (error != std::errc() || stop != end || port == 0) {
+    if (error != std::errc() || stop != end || port == 0 || digits.front() == '0') {
         return std::nullopt;
     }
     std::array<unsigned char, sizeof(in6_addr)> binary{};
--- a/Tests/StandIns/stand_in_store.cpp
+++ b/Tests/StandIns/stand_in_store.cpp
@@ -49,6 +49,19 @@
 
 } // namespace
 
+// The whole content if it is too short for the key.
+std::string stand_in_store::record::key() const
+{
+    const std::size_t length = content.empty() ? 0 : static_cast<unsigned char>(content[0]);
+    return content.size() <= length ? content : content.substr(1, length);
+}
+
+std::string stand_in_store::record::value() const
+{
+    const std::size_t length = content.empty() ? 0 : static_cast<unsigned char>(content[0]);
+    return content.size() <= length ? std::string() : content.substr(1 + length);
+}
+
 stand_in_store::stand_in_store(kernel& core, net_address listen)
     : core_(core), listen_(std::move(listen))
 {
@@ -62,7 +75,12 @@
 
 void stand_in_store::put(const std::string& topic, const std::string& key, const std::string& value)
 {
-    logs_[topic].push_back({key, value});
+    put_bytes(topic, static_cast<char>(key.size()) + key + value);
+}
+
+void stand_in_store::put_bytes(const std::string& topic, const std::string& content)
+{
+    logs_[topic].push_back({content});
     bool delivered = false;
     for (auto call = waiting_.begin(); call != waiting_.end();) {
         if (call->topic != topic) {
@@ -97,18 +115,20 @@
     const std::vector<record>& log = logs_[topic];
     std::map<std::string, std::size_t> newest;
     for (std::size_t offset = 0; offset < log.size(); ++offset) {
-        newest[log[offset].key] = offset;
+        newest[log[offset].key()] = offset;
     }
     json entries = json::array();
     for (const auto& [key, offset] : newest) {
-        if (log[offset].value.empty()) {
+        const std::string value = log[offset].value();
+        if (value.empty()) {
             continue;
         }
-        entries.push_back(
-            {{"Key", key}, {"Value", to_base64(log[offset].value)}, {"Offset", offset}});
+        entries.push_back({{"Key", key}, {"Value", to_base64(value)}, {"Offset", offset}});
     }
     const json response{{"Entries", entries}, {"HasMore", false}, {"EndOffset", log.size()}};
-    caller->reply(200, "application/json", response.dump());
+    // Bytes that are not UTF-8 are replaced.
+    caller->reply(200, "application/json",
+                  response.dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
 void stand_in_store::read(const exchange& caller, const std::string& topic)
@@ -140,9 +160,8 @@
     for (std::size_t offset = call.from; offset < log.size() && body.size() < call.max_bytes;
          ++offset) {
         const record& row = log[offset];
-        append_big_endian(body, 1 + row.key.size() + row.value.size(), 4);
-        append_big_endian(body, row.key.size(), 1);
-        body += row.key + row.value;
+        append_big_endian(body, row.content.size(), 4);
+        body += row.content;
     }
     body.resize(std::min(body.size(), std::max<std::size_t>(call.max_bytes, 16)));
     call.caller->reply(200, "application/octet-stream", body);
--- a/Tests/StandIns/stand_in_store.h
+++ b/Tests/StandIns/stand_in_store.h
@@ -28,13 +28,17 @@
     /// Appends a record and answers the reads that wait for one.
     void put(const std::string& topic, const std::string& key, const std::string& value);
 
+    /// Appends a record with this content, which need not begin with a key.
+    void put_bytes(const std::string& topic, const std::string& content);
+
     /// Called after a waiting read has been answered with new records.
     std::function<void(const std::string& topic)> on_delivered;
 
 private:
     struct record {
-        std::string key;
-        std::string value;
+        std::string content; // the length of the key (1 byte), the key and the value
+        std::string key() const;
+        std::string value() const;
     };
     using exchange = std::shared_ptr<http_exchange>;
     struct waiting_read {
