Count crashes at agents by whatever ends a run and whatever shows the crash

An agent counted a crash only if a run broke off and a probe right after it failed. A run that an entry had abandoned, one that was stopped or too large, an own failure and a whole response counted for nothing; so did a run that broke off after the probe had failed, and a server that was up again, and cold, when the probe came.

Agents now use the crash detector that entries use. A server that becomes cold while a run is lost has started again. A run that is still open when a probe fails counts at its own end, because a busy server may miss a probe.

Evidence: agent_of_crashing_engine.*: nine ends of a run. They were written with the change and were not run on the code before it.

--- a/Source/agent_core.cpp
+++ b/Source/agent_core.cpp
@@ -34,7 +34,9 @@
       idempotency_guard_({.claims_ready = hooks_.claims_ready,
                           .lookup = hooks_.key_lookup,
                           .expired = hooks_.key_expired}),
-      queue_(options_.queue), crashes_(options_.crashes), entry_tracker_(options_.entries)
+      queue_(options_.queue),
+      crashes_({.counts_open_attempts = false, .evidence = options_.crashes}),
+      entry_tracker_(options_.entries)
 {
 }
 
@@ -103,7 +105,7 @@
     if (time_left(message, now) <= 0ms) {
         return wire::deadline_passed;
     }
-    if (crashes_.quarantined(suspects_of(message), now) ||
+    if (crashes().quarantined(suspects_of(message), now) ||
         configuration_.quarantined(message.fingerprint())) {
         return wire::quarantined;
     }
@@ -225,16 +227,33 @@
         return;
     }
     send_verdict(job.route, id, wire::started, wire::refusal_none, now);
-    run(id, job);
+    run(id, job, now);
 }
 
-void agent_core::run(attempt_id id, agent_job& job)
+void agent_core::run(attempt_id id, agent_job& job, millis now)
 {
     job.state = job_phase::running;
+    job.run = crashes_.begin({.suspects = suspects_of(job.request),
+                              .server = backend_incarnation(),
+                              .service = hash_of(options_.service)},
+                             now);
     ++metrics_.named("runs_started");
     hooks_.start_run(id, job.request);
 }
 
+void agent_core::stop_run(attempt_id id, agent_job& job, millis now)
+{
+    hooks_.stop_run(id);
+    record_run_end(job, attempt_end::given_up, now);
+}
+
+void agent_core::record_run_end(agent_job& job, attempt_end how, millis now)
+{
+    if (const auto number = std::exchange(job.run, std::nullopt)) {
+        publish_crash_evidence(crashes_.end(*number, how, now), now);
+    }
+}
+
 // Replaces the job, if any, by a record that the attempt must never start.
 void agent_core::record_tombstone(attempt_id id, millis now)
 {
@@ -276,7 +295,7 @@
     }
     else if (won) {
         send_verdict(job.route, id, wire::started, wire::refusal_none, now);
-        run(id, job);
+        run(id, job, now);
         return;
     }
     else {
@@ -368,7 +387,7 @@
         case job_phase::running:
             body.set_status(wire::running);
             if (message.abandon() && job.request.repeat() == wire::idempotent) {
-                hooks_.stop_run(id);
+                stop_run(id, job, now);
                 end_job(id, job, wire::failed_maybe_run, now);
             }
             break;
@@ -470,7 +489,7 @@
 {
     wire::crash_evidence evidence;
     for (const std::uint64_t hash : suspects) {
-        *evidence.add_suspects() = crashes_.record(hash, now);
+        *evidence.add_suspects() = crashes().record(hash, now);
     }
     if (evidence.suspects_size() > 0) {
         hooks_.gossip_crash_evidence(evidence);
@@ -478,7 +497,7 @@
 }
 
 void agent_core::on_answer_head(attempt_id id, unsigned status, const std::string& content_type,
-                                millis /*now*/)
+                                millis now)
 {
     const auto found = jobs_.find(id);
     if (found == jobs_.end() || found->second.state != job_phase::running) {
@@ -486,6 +505,7 @@
     }
     found->second.status = status;
     found->second.content_type = content_type;
+    publish_crash_evidence(crashes_.on_server_heard(backend_incarnation(), now), now);
 }
 
 void agent_core::on_answer_data(attempt_id id, std::string_view data, millis now)
@@ -527,13 +547,13 @@
     switch (end) {
     case run_outcome::complete:
         limits_.ramp().completed(now);
-        if (job.status < first_redirection) {
-            publish_crash_evidence(crashes_.record_success(suspects_of(job.request), now, now),
-                                   now);
-        }
+        record_run_end(
+            job, job.status < first_redirection ? attempt_end::completed : attempt_end::answered,
+            now);
         end_job(id, job, wire::complete, now);
         break;
     case run_outcome::refused_connection:
+        record_run_end(job, attempt_end::not_run, now);
         if (!job.token.empty()) {
             hooks_.release({.key = job.request.idempotency_key(), .token = job.token});
         }
@@ -541,14 +561,16 @@
         break;
     case run_outcome::crashed: {
         job.crashed = true;
-        publish_crash_evidence(
-            crashes_.record_crash(suspects_of(job.request), backend_incarnation(), now, now), now);
+        record_run_end(job, attempt_end::lost, now);
+        on_backend_ended(now);
         ++metrics_.named("backend_crashes");
         end_job(id, job, wire::failed_maybe_run, now);
         break;
     }
     case run_outcome::lost:
     case run_outcome::too_large:
+        record_run_end(job, end == run_outcome::lost ? attempt_end::lost : attempt_end::given_up,
+                       now);
         end_job(id, job, wire::failed_maybe_run, now);
         break;
     }
@@ -610,8 +632,14 @@
     limits_.ramp().restart(now);
 }
 
+void agent_core::on_backend_ended(millis now)
+{
+    publish_crash_evidence(crashes_.on_server_down(backend_incarnation(), now), now);
+}
+
 void agent_core::on_tick(millis now)
 {
+    publish_crash_evidence(crashes_.sweep(now), now);
     const bool out = configuration_.zone_out(options_.availability_zone) ||
                      configuration_.drained(options_.instance);
     if (was_withdrawn_ && !out) {
@@ -624,7 +652,7 @@
                               now - job.last_seen > options_.orphan_timeout;
         if (orphaned) {
             ++metrics_.named("orphans_stopped");
-            hooks_.stop_run(id);
+            stop_run(id, job, now);
             end_job(id, job, wire::failed_maybe_run, now);
         }
     }
@@ -701,7 +729,7 @@
             {"load_error", seen.error},
             {"load_samples", seen.samples},
             {"jobs", jobs_.size()},
-            {"suspects", crashes_.size()},
+            {"suspects", crashes().size()},
             {"configuration_offset", configuration_.offset()}};
 }
 
--- a/Source/agent_core.h
+++ b/Source/agent_core.h
@@ -5,7 +5,7 @@
 #include "claim_ledger.h"
 #include "configuration_state.h"
 #include "counters.h"
-#include "crash_register.h"
+#include "crash_detector.h"
 #include "entry_tracker.h"
 #include "fair_queue.h"
 #include "idempotency_guard.h"
@@ -97,6 +97,8 @@
     void on_answer_data(attempt_id id, std::string_view data, millis now);
     void on_run_end(attempt_id id, run_outcome end, millis now);
     void on_backend_cold(millis now);
+    /// The backend server has ended: it refuses connections, fails a probe, or has restarted.
+    void on_backend_ended(millis now);
     /// Result of a health probe.  `cold`: the server reports that it is cold, or is down.
     void on_backend_state(bool up, bool cold)
     {
@@ -117,7 +119,7 @@
     bool accepting() const;
     wire::load_report load_report() const;
     const cold_start_ramp& ramp() const { return limits_.ramp(); }
-    const crash_register& crashes() const { return crashes_; }
+    const crash_register& crashes() const { return crashes_.evidence(); }
     nlohmann::json describe(millis now) const;
 
 private:
@@ -128,7 +130,9 @@
                                 const wire::dispatch& message, millis now);
     void admit(attempt_id id, const std::string& route, const wire::dispatch& message, millis now);
     void begin(attempt_id id, agent_job& job, millis now);
-    void run(attempt_id id, agent_job& job);
+    void run(attempt_id id, agent_job& job, millis now);
+    void stop_run(attempt_id id, agent_job& job, millis now);
+    void record_run_end(agent_job& job, attempt_end how, millis now);
     void start_queued_jobs(millis now);
     void publish_crash_evidence(const std::vector<std::uint64_t>& suspects, millis now);
     std::uint64_t backend_incarnation() const;
@@ -150,7 +154,7 @@
     agent_limits limits_;
     idempotency_guard idempotency_guard_;
     fair_queue queue_;
-    crash_register crashes_;
+    crash_detector crashes_;
     job_table jobs_;
     entry_tracker entry_tracker_;
     std::map<std::uint64_t, attempt_id> queued_jobs_; // by handle in the fair queue
--- a/Source/agent_job.h
+++ b/Source/agent_job.h
@@ -61,9 +61,10 @@
     std::uint64_t sent = 0;         // end offset of the bytes sent
     std::uint64_t acknowledged = 0; // end offset of the bytes acknowledged
     wire::answer_end end = wire::more;
-    bool replayed = false;    // the answer is that of an earlier run with the same key
-    bool crashed = false;     // the backend server crashed during the run
-    std::uint64_t handle = 0; // identifies the job in the fair queue
+    bool replayed = false;            // the answer is that of an earlier run with the same key
+    bool crashed = false;             // the backend server crashed during the run
+    std::uint64_t handle = 0;         // identifies the job in the fair queue
+    std::optional<std::uint64_t> run; // number of the open run in the crash detector
 
     /// Returns the answer parts to send now.  Stops sending when `window` unacknowledged bytes
     /// are in flight.
--- a/Source/agent_server.cpp
+++ b/Source/agent_server.cpp
@@ -189,6 +189,7 @@
         return;
     case http_call_result::not_sent:
         backend_up_ = false;
+        agent_core_->on_backend_ended(core_.now());
         agent_core_->on_backend_state(false, true);
         agent_core_->on_run_end(id, run_outcome::refused_connection, core_.now());
         return;
@@ -227,12 +228,19 @@
 void agent_server::classify_lost_run(attempt_id id)
 {
     query_health([this, id](backend_health health) {
-        if (!health.up) {
-            log_event(event_id::backend_crashed, "backend={}", options_.backend.backend.text());
+        // A server that has become cold meanwhile has started again.
+        const bool restarted = health.up && health.cold && !backend_cold_ && backend_up_;
+        const bool crashed = !health.up || restarted;
+        if (crashed) {
+            log_event(event_id::backend_crashed, "backend={} restarted={}",
+                      options_.backend.backend.text(), restarted);
         }
-        update_health(health);
-        agent_core_->on_run_end(id, health.up ? run_outcome::lost : run_outcome::crashed,
+        if (restarted) {
+            update_health({.up = false});
+        }
+        agent_core_->on_run_end(id, crashed ? run_outcome::crashed : run_outcome::lost,
                                 core_.now());
+        update_health(health);
     });
 }
 
@@ -247,6 +255,9 @@
 
 void agent_server::update_health(backend_health health)
 {
+    if (!health.up) {
+        agent_core_->on_backend_ended(core_.now());
+    }
     // A server that was down has restarted, and so starts cold.
     const bool cold = health.cold || (health.up && !backend_up_);
     if (cold && !backend_cold_) {
--- a/Source/crash_detector.cpp
+++ b/Source/crash_detector.cpp
@@ -206,7 +206,7 @@
         unsettled_.erase(found);
     }
     for (auto& [number, attempt] : open_) {
-        if (attempt.subject.server == server && !attempt.counted) {
+        if (options_.counts_open_attempts && attempt.subject.server == server && !attempt.counted) {
             attempt.counted = true;
             append(counted, evidence_.record_crash(attempt.subject.suspects, server, now, now));
         }
--- a/Source/crash_detector.h
+++ b/Source/crash_detector.h
@@ -40,6 +40,9 @@
     // Longest time from the loss of a request to another one's success at the same service, which
     // shows that the loss is not due to an outage.
     millis comparison_time = 3000ms;
+    // Whether an attempt counts as lost at once when its server has ended, or only at its own end:
+    // an agent that probes its server may take a busy one for down.
+    bool counts_open_attempts = true;
     std::size_t max_losses = 1024;   // beyond that the oldest are evicted
     std::size_t max_servers = 4096;  // servers that have ended; beyond that the oldest are evicted
     std::size_t max_responses = 256; // for each server
--- a/Tests/Decisions/agent_core_test.cpp
+++ b/Tests/Decisions/agent_core_test.cpp
@@ -114,3 +114,84 @@
     EXPECT_EQ(dispatch(103, {first_message, harmful_message}), wire::quarantined);
     EXPECT_EQ(dispatch(104, {first_message, 12}), wire::refusal_none);
 }
+
+namespace {
+
+// How a run ends whose engine has crashed.
+struct run_way {
+    std::string name;
+    std::function<void(agent_core& core, attempt_id id, millis now)> end;
+};
+
+std::ostream& operator<<(std::ostream& out, const run_way& way)
+{
+    return out << way.name;
+}
+
+std::vector<run_way> run_ways()
+{
+    const auto answers = [](unsigned status) {
+        return [status](agent_core& core, attempt_id id, millis now) {
+            core.on_answer_head(id, status, "text/plain", now);
+            core.on_run_end(id, run_outcome::complete, now);
+            core.on_backend_ended(now + 50ms);
+        };
+    };
+    const auto ends = [](run_outcome outcome, bool ended_before) {
+        return [outcome, ended_before](agent_core& core, attempt_id id, millis now) {
+            if (ended_before) {
+                core.on_backend_ended(now);
+            }
+            core.on_run_end(id, outcome, now + 50ms);
+            if (!ended_before) {
+                core.on_backend_ended(now + 400ms);
+            }
+        };
+    };
+    return {
+        {"crashed", ends(run_outcome::crashed, false)},
+        {"lost", ends(run_outcome::lost, false)},
+        {"lost_after_the_probe", ends(run_outcome::lost, true)},
+        {"too_large", ends(run_outcome::too_large, false)},
+        {"own_failure", answers(500)},
+        {"own_rejection", answers(400)},
+        {"complete", answers(200)},
+        {"abandoned",
+         [](agent_core& core, attempt_id id, millis now) {
+             wire::cancel_fence fence;
+             name_attempt(fence, id);
+             fence.set_agent_incarnation(agent_incarnation);
+             fence.set_abandon(true);
+             core.on_fence("entry", fence, now);
+             core.on_backend_ended(now + 50ms);
+         }},
+        {"orphaned",
+         [](agent_core& core, attempt_id /*id*/, millis now) {
+             core.on_tick(now + 11000ms); // nothing was heard of the entry
+             core.on_backend_ended(now + 11050ms);
+         }},
+    };
+}
+
+class agent_of_crashing_engine : public agent_of_engine,
+                                 public testing::WithParamInterface<run_way> {};
+
+} // namespace
+
+// Guards against a request that crashes one engine after the other because the way in which its
+// runs end at the agents is not counted.
+TEST_P(agent_of_crashing_engine, counts_a_crash_however_the_run_ends)
+{
+    for (int crash = 0; crash < 2; ++crash) {
+        ASSERT_EQ(dispatch(100, {}), wire::refusal_none) << "crash " << crash;
+        GetParam().end(core, id, now);
+        now += 15000ms;
+        core.on_backend_state(false, true);
+        core.on_backend_state(true, false);
+    }
+    EXPECT_EQ(dispatch(100, {}), wire::quarantined);
+    EXPECT_EQ(dispatch(101, {}), wire::refusal_none);
+}
+
+INSTANTIATE_TEST_SUITE_P(all, agent_of_crashing_engine, testing::ValuesIn(run_ways()),
+                         [](const auto& row) { return row.param.name; });
