Take no request that may outlast the grace, however long that is

Cause here: requests were taken whatever their deadlines during 0.35 of the grace. That is 2.7 s of the usual 8 s, but 4.8 s of 14 s.

--- a/Source/relay_server.cpp
+++ b/Source/relay_server.cpp
@@ -22,9 +22,11 @@
 constexpr int listen_backlog = 1024;
 // Time to write the last responses after open requests were aborted, before the process exits.
 constexpr millis flush_time = 150ms;
-// Share of the grace period in which requests are accepted whatever their deadlines: most end long
-// before these, and a refusal uses up one of the caller's few attempts.
+// Time, and share of the grace period, in which requests are accepted whatever their deadlines:
+// most end long before these, and a refusal uses up one of the caller's few attempts.  Later ones
+// are refused if they may still run when the process exits.
 constexpr double unconditional_share = 0.35;
+constexpr millis max_unconditional_time = 2800ms;
 
 } // namespace
 
@@ -241,7 +243,8 @@
         return false;
     }
     const millis grace = *grace_ends_at_ - *stopping_since_;
-    const auto unconditional = std::chrono::duration_cast<millis>(grace * unconditional_share);
+    const auto unconditional = std::min(
+        std::chrono::duration_cast<millis>(grace * unconditional_share), max_unconditional_time);
     return core_.now() < *stopping_since_ + unconditional || deadline <= *grace_ends_at_;
 }
 
--- a/Tests/EntryProcess/entry_process_test.cpp
+++ b/Tests/EntryProcess/entry_process_test.cpp
@@ -1,35 +1,27 @@
 // Stops the platform's entry as a separate process while callers go on using their connections,
 // and checks what each caller saw.
 
-#include "child_process.h"
 #include "entry_caller.h"
+#include "entry_process.h"
 #include "kernel.h"
 #include "recording_backend.h"
 #include "stand_in_store.h"
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
-#include <httplib.h>
-#include <nlohmann/json.hpp>
 #include <unistd.h>
 
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
-#include <fstream>
 #include <map>
 #include <thread>
 
 using namespace cyclamen;
 using namespace cyclamen::test;
-using nlohmann::json;
 
 namespace {
 
-constexpr const char* orders_topic = "keyed.op";
-constexpr const char* backends_topic = "keyed.servers";
-constexpr std::uint16_t callers_port = 8000;
-constexpr std::uint16_t readiness_port = 8001;
 constexpr int grace_seconds = 8;
 constexpr unsigned backend_count = 3;
 constexpr unsigned caller_count = 48;
@@ -45,92 +37,11 @@
     return value == nullptr ? fallback : static_cast<unsigned>(std::strtoul(value, nullptr, 10));
 }
 
-std::string program_path()
-{
-    const char* value = std::getenv("CYCLAMEN_ENTRY_PROGRAM");
-    return value == nullptr ? std::string(CYCLAMEN_BINARIES) + "/platform/cyclamen-platform-entry"
-                            : value;
-}
-
 millis since(test_clock::time_point from, test_clock::time_point to)
 {
     return std::chrono::duration_cast<millis>(to - from);
 }
 
-json route(const std::string& kind, const std::string& type)
-{
-    return {{"Name", kind},  {"Hostname", "shop.example"}, {"PathPrefix", "/" + kind + "/"},
-            {"Type", type},  {"TimeoutMs", 20000},         {"TargetLatencyMs", 800},
-            {"Priority", 1}, {"MaxAttempts", 2},           {"Service", "shop"}};
-}
-
-std::string configuration(std::uint64_t version, unsigned more_routes)
-{
-    json routes{route("get", "safe"), route("post", "unsafe"), route("stream", "streaming")};
-    for (unsigned number = 0; number < more_routes; ++number) {
-        routes.push_back(route(fmt::format("more-{}", number), "safe"));
-    }
-    const json document{{"Version", version},
-                        {"Routes", routes},
-                        {"Services", {{{"Name", "shop"}, {"ColdPerS", 1000}}}},
-                        {"Limits", {{"HeaderTimeoutMs", 10000}, {"IdleTimeoutMs", 60000}}}};
-    return document.dump();
-}
-
-// An entry process with an address and files of its own.
-class entry_process {
-public:
-    entry_process(std::string name, std::string ip, net_address store,
-                  const std::filesystem::path& folder)
-        : name_(std::move(name)), ip_(std::move(ip)), store_(std::move(store)),
-          settings_path_(folder / (name_ + ".json")), log_path_(folder / (name_ + ".log"))
-    {
-        write_settings(2.0);
-        setenv("CYCLAMENSHORE_CONFIG", settings_path_.c_str(), 1);
-        process_ =
-            std::make_unique<child_process>(program_path(), std::vector<std::string>{}, log_path_);
-    }
-
-    void write_settings(double load_multiple) const
-    {
-        const json document{{"NodeName", name_},
-                            {"Zone", "z1"},
-                            {"Ip", ip_},
-                            {"Listen",
-                             {{"Frontend", address(callers_port).text()},
-                              {"Readiness", address(readiness_port).text()}}},
-                            {"PortRange", {7000, 7010}},
-                            {"Seeds", json::array()},
-                            {"HeartbeatMs", 1000},
-                            {"Bounds",
-                             {{"GraceS", grace_seconds},
-                              {"RetryBudgetRatio", 0.2},
-                              {"BudgetExtra", 56},
-                              {"CapMultiplier", load_multiple}}},
-                            {"Platform", {{"Address", store_.text()}}}};
-        std::ofstream(settings_path_) << document.dump(2);
-    }
-    void write_unreadable_settings() const { std::ofstream(settings_path_) << "{\"NodeName\": "; }
-
-    net_address address(std::uint16_t port) const { return {.host = ip_, .port = port}; }
-    int readiness() const
-    {
-        httplib::Client client(ip_, readiness_port);
-        client.set_connection_timeout(std::chrono::seconds(1));
-        const auto response = client.Get("/v1/readyz");
-        return response ? response->status : 0;
-    }
-    child_process& process() { return *process_; }
-
-private:
-    std::string name_;
-    std::string ip_;
-    net_address store_;
-    std::string settings_path_;
-    std::string log_path_;
-    std::unique_ptr<child_process> process_;
-};
-
 // One stop of an entry under the faults that the seed chooses.
 class entry_stop {
 public:
@@ -147,9 +58,12 @@
                 fmt::format("i-{}", number), executions_)));
         }
         for (unsigned index = 0; index < entries_.size(); ++index) {
-            entries_.at(index) =
-                std::make_unique<entry_process>(fmt::format("entry-{}", index), ip(3 + index),
-                                                net_address{.host = ip(1), .port = 8002}, folder_);
+            entries_.at(index) = std::make_unique<entry_process>(
+                entry_process_options{.name = fmt::format("entry-{}", index),
+                                      .ip = ip(3 + index),
+                                      .store = {.host = ip(1), .port = 8002},
+                                      .folder = folder_,
+                                      .grace = std::chrono::seconds(grace_seconds)});
             plan_.entries.at(index) = entries_.at(index)->address(callers_port);
         }
     }
@@ -239,7 +153,7 @@
 
 void entry_stop::run()
 {
-    store_->put(orders_topic, "config", configuration(version_, 0));
+    store_->put(orders_topic, "config", entry_configuration(version_, 0));
     write_backends();
     const kernel::timer heartbeat = core_.every(1000ms, [this] { write_backends(); });
     const kernel::timer progress = core_.every(5ms, [this] { advance(); });
@@ -263,12 +177,7 @@
 {
     ++sequence_;
     for (const recording_backend* backend : backends_) {
-        const json record{{"Service", "shop"},     {"Address", backend->address().text()},
-                          {"Zone", "z1"},          {"Version", "v1"},
-                          {"Capacity", 64},        {"State", "ready"},
-                          {"ColdRemainingMs", 0},  {"Sequence", sequence_},
-                          {"born", 1700000000000U}};
-        store_->put(backends_topic, backend->id(), record.dump());
+        store_->put(backends_topic, backend->id(), backend_record(backend->address(), sequence_));
     }
 }
 
@@ -350,7 +259,7 @@
                 at(pause_after_delivery_, [this] { pause_entry(); });
             }
         };
-        store_->put(orders_topic, "config", configuration(++version_, routes));
+        store_->put(orders_topic, "config", entry_configuration(++version_, routes));
     });
     for (int count = uniform(1, 3); count > 0; --count) {
         at(stop + millis(uniform(50, 3000)), [this] { rewrite_settings(); });
--- a/Tests/Relay/relay_shutdown_test.cpp
+++ b/Tests/Relay/relay_shutdown_test.cpp
@@ -196,6 +196,30 @@
     EXPECT_EQ(shop.requests(), 1U);
 }
 
+// Guards against requests that are cut at the end of a long grace period: the time in which they
+// were taken whatever their deadlines grew with it.
+TEST(relay_long_shutdown, takes_requests_of_any_deadline_for_a_few_seconds_only)
+{
+    relay_harness fleet({.lame_duck_time = 60ms,
+                         .lame_duck_idle_time = 20000ms,
+                         .limits = {.stop_grace = 60000ms}});
+    scripted_backend& shop = fleet.add_backend("s1");
+    relay_configuration configuration = relay_harness::configuration();
+    configuration.routes[1].timeout = 120000ms;
+    fleet.configure(std::move(configuration));
+    scripted_caller& caller = fleet.add_caller();
+    caller.send(get("/view/1"));
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 1; }));
+    shop.respond(0, "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\nContent-Length: 10\r\n\r\nfirst");
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.received().ends_with("first"); }));
+    fleet.relay().begin_stop();
+    fleet.run_for(3000ms);
+    shop.respond(0, " half");
+    caller.send(post("/pay/", "x", "Deadline-Ms: 90000\r\n"));
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.status() == 503; }));
+    EXPECT_EQ(shop.requests(), 1U);
+}
+
 // A request that ends within the grace period is served until then.
 TEST_F(relay_shutdown, serves_what_finishes_before_the_exit)
 {
