Build no message when the evidence has not changed

relay_state::publish is now called at each response head; it built an empty protobuf message before it looked whether there is anything to tell. No decision is changed; relay_tests pass with the change before and after.

--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -217,6 +217,9 @@
 void relay_state::publish(const std::vector<std::uint64_t>& suspects,
                           std::optional<std::uint64_t> server_down)
 {
+    if (suspects.empty() && !server_down) {
+        return;
+    }
     wire::crash_evidence evidence;
     for (const std::uint64_t hash : suspects) {
         const wire::suspect_record& record = *evidence.add_suspects() =
@@ -228,10 +231,8 @@
     if (server_down) {
         evidence.add_down()->set_server(*server_down);
     }
-    if (evidence.suspects_size() > 0 || evidence.down_size() > 0) {
-        crash_evidence_found.emit(evidence);
-        check_quarantine();
-    }
+    crash_evidence_found.emit(evidence);
+    check_quarantine();
 }
 
 void relay_state::check_quarantine()
