--- a/Tests/EntryProcess/entry_grace_test.cpp
+++ b/Tests/EntryProcess/entry_grace_test.cpp
@@ -54,7 +54,8 @@
                                   .folder = folder,
                                   .grace = std::chrono::seconds(grace)});
     }
-    ~entry_grace() override
+
+    void TearDown() override
     {
         if (!HasFailure()) {
             std::filesystem::remove_all(folder);
