--- a/Tests/Platform/odd_records_test.cpp
+++ b/Tests/Platform/odd_records_test.cpp
@@ -25,7 +25,7 @@
 std::optional<backend_entry> decode(const std::string& text, const std::string& id = "i-1")
 {
     std::string error;
-    const auto entry = decode_backend(id, text, error);
+    auto entry = decode_backend(id, text, error);
     EXPECT_EQ(entry.has_value(), error.empty()) << text.substr(0, 200);
     return entry;
 }
@@ -81,7 +81,7 @@
                                                      "[[[[",
                                                      "\"\\u0000\"",
                                                      "\xff\xfe"};
-        for (int count = uniform(1, 4); count > 0 && !text.empty(); --count) {
+        for (std::size_t count = uniform(1, 4); count > 0 && !text.empty(); --count) {
             const std::size_t at = uniform(0, text.size() - 1);
             switch (uniform(0, 5)) {
             case 0:
--- a/Tests/Relay/crash_signs_test.cpp
+++ b/Tests/Relay/crash_signs_test.cpp
@@ -24,7 +24,7 @@
     // Adds a server under a new id.
     std::string add_server()
     {
-        const std::string id = fmt::format("s{}", ++last_server);
+        std::string id = fmt::format("s{}", ++last_server);
         servers[id] = &fleet.add_backend(id);
         return id;
     }
@@ -88,7 +88,7 @@
     std::string send_and_reset(const std::string& request)
     {
         scripted_caller& caller = fleet.add_caller();
-        const std::string id = send(caller, request);
+        std::string id = send(caller, request);
         if (!id.empty()) {
             servers[id]->reset(servers[id]->requests() - 1);
             EXPECT_TRUE(fleet.wait_for([&] { return caller.status() != 0 || caller.ended(); }));
