Keep evidence about crashes cheap in fleets of many entries

The log of one entry shows its event loop held up for up to 2.6 s after servers crashed.

Cause: since losses are told to all entries, each entry counted each loss and told all others what it had counted; for each loss all suspects were searched for old ones, and after each message all were evaluated.

Now an entry tells what it counts from losses of its own; what is old is looked for once a second; only suspects with enough crashes are evaluated; losses of peers leave half of the room to the entry's own, and repeats are shorter.

--- a/Source/crash_detector.cpp
+++ b/Source/crash_detector.cpp
@@ -116,6 +116,9 @@
 
 void crash_detector::add_loss(std::uint64_t server, loss lost)
 {
+    if (lost.from_peer && losses_.size() >= options_.max_losses / 2) {
+        return; // leaves room for those of this process
+    }
     if (losses_.size() >= options_.max_losses) {
         losses_.erase(std::min_element(
             losses_.begin(), losses_.end(),
@@ -196,7 +199,11 @@
     const auto first = losses_.lower_bound({server, 0});
     const auto last = losses_.upper_bound({server, std::numeric_limits<std::uint64_t>::max()});
     for (auto row = first; row != last; ++row) {
-        append(counted, evidence_.record_crash(row->second.suspects, server, row->second.at, now));
+        const auto changed =
+            evidence_.record_crash(row->second.suspects, server, row->second.at, now);
+        if (!row->second.from_peer) {
+            append(counted, changed);
+        }
     }
     losses_.erase(first, last);
     if (const auto found = unsettled_.find(server); found != unsettled_.end()) {
@@ -228,10 +235,11 @@
             continue;
         }
         if (down_.contains(row.server())) {
-            append(counted, evidence_.record_crash(suspects, row.server(), at, now));
+            evidence_.record_crash(suspects, row.server(), at, now);
             continue;
         }
-        add_loss(row.server(), {.suspects = suspects, .at = at, .published = true});
+        add_loss(row.server(),
+                 {.suspects = suspects, .at = at, .from_peer = true, .published = true});
     }
     for (const wire::suspect_record& record : evidence.suspects()) {
         evidence_.merge(record, now);
--- a/Source/crash_detector.h
+++ b/Source/crash_detector.h
@@ -91,7 +91,7 @@
     bool known_down(std::uint64_t server) const { return down_.contains(server); }
 
     /// Merges what a peer, or an earlier process, knows.  Returns the suspects for which a crash
-    /// was counted because of it.
+    /// was counted because of it, with losses of this process.
     std::vector<std::uint64_t> merge(const wire::crash_evidence& evidence, millis now);
     bool merge(const wire::suspect_record& record, millis now)
     {
@@ -118,6 +118,7 @@
     struct loss {
         std::vector<suspect> suspects;
         millis at{0};
+        bool from_peer = false; // which tells the others what it counts
         bool published = false;
     };
     struct unexplained_loss {
--- a/Source/crash_register.cpp
+++ b/Source/crash_register.cpp
@@ -9,6 +9,7 @@
 
 // The quarantine changes without new evidence only when retention times pass.
 constexpr millis evaluation_interval = 1000ms;
+constexpr millis eviction_interval = 1000ms;
 
 std::uint32_t age_of(millis at, millis now)
 {
@@ -51,7 +52,7 @@
         }
     }
     quarantine_.reset();
-    evict(now);
+    evict_when_due(now);
     return changed;
 }
 
@@ -110,7 +111,7 @@
     }
     if (changed) {
         quarantine_.reset();
-        evict(now);
+        evict_when_due(now);
     }
     return changed;
 }
@@ -146,11 +147,13 @@
 }
 
 std::optional<crash_register::candidate>
-crash_register::best_explanation(const std::set<std::uint64_t>& chosen,
+crash_register::best_explanation(const std::vector<entry_table::const_iterator>& rows,
+                                 const std::set<std::uint64_t>& chosen,
                                  const std::set<std::uint64_t>& explained, millis now) const
 {
     std::optional<candidate> best;
-    for (const auto& [hash, row] : entries_) {
+    for (const auto& each : rows) {
+        const auto& [hash, row] = *each;
         if (chosen.contains(hash)) {
             continue;
         }
@@ -183,7 +186,14 @@
     }
     std::set<std::uint64_t> chosen;
     std::set<std::uint64_t> explained; // crashed servers
-    while (const auto best = best_explanation(chosen, explained, now)) {
+    // Most suspects have been lost in one crash.
+    std::vector<entry_table::const_iterator> rows;
+    for (auto row = entries_.begin(); row != entries_.end(); ++row) {
+        if (row->second.crashes.size() >= threshold(row->second, false)) {
+            rows.push_back(row);
+        }
+    }
+    while (const auto best = best_explanation(rows, chosen, explained, now)) {
         chosen.insert(best->hash);
         for (const auto& [server, at] : entries_.at(best->hash).crashes) {
             explained.insert(server);
@@ -222,7 +232,7 @@
 {
     std::set<std::uint64_t> result = quarantine(now);
     for (const auto& [hash, row] : entries_) {
-        if (proven(row, now)) {
+        if (row.crashes.size() + 1 < threshold(row, false) || proven(row, now)) {
             continue;
         }
         const std::size_t crashes = uncleared_crashes(row, {}, now).size();
@@ -278,6 +288,15 @@
     return result;
 }
 
+// Looks at all suspects, so that it is not done for each crash.
+void crash_register::evict_when_due(millis now)
+{
+    if (entries_.size() > options_.max_suspects || now - evicted_at_ >= eviction_interval) {
+        evicted_at_ = now;
+        evict(now);
+    }
+}
+
 void crash_register::evict(millis now)
 {
     const auto last_crash = [](const entry& row) {
--- a/Source/crash_register.h
+++ b/Source/crash_register.h
@@ -90,20 +90,24 @@
 
     std::vector<millis>
     uncleared_crashes(const entry& row, const std::set<std::uint64_t>& explained, millis now) const;
-    std::optional<candidate> best_explanation(const std::set<std::uint64_t>& chosen,
+    using entry_table = std::map<std::uint64_t, entry>;
+    std::optional<candidate> best_explanation(const std::vector<entry_table::const_iterator>& rows,
+                                              const std::set<std::uint64_t>& chosen,
                                               const std::set<std::uint64_t>& explained,
                                               millis now) const;
     bool proven(const entry& row, millis now) const;
     unsigned threshold(const entry& row, bool is_proven) const;
     bool add_crash(std::uint64_t hash, unsigned position, std::uint64_t server, millis at);
+    void evict_when_due(millis now);
     void evict(millis now);
 
     crash_register_options options_;
-    std::map<std::uint64_t, entry> entries_;                   // by hash of the suspect
+    entry_table entries_;                                      // by hash of the suspect
     std::unordered_map<std::uint64_t, millis> last_successes_; // by suspect
     // The quarantine as of `evaluated_at_`; empty after a change of the evidence.
     mutable std::optional<std::set<std::uint64_t>> quarantine_;
     mutable millis evaluated_at_{0};
+    millis evicted_at_{0};
 };
 
 } // namespace cyclamen
--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -6,6 +6,7 @@
 #include <fmt/ranges.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace cyclamen {
@@ -180,7 +181,8 @@
     for (wire::suspect_record& record : crashes_.evidence().records(start, suspects, now)) {
         *news.add_suspects() = std::move(record);
     }
-    crashes_.add_recent(news, start, suspects, now);
+    constexpr std::size_t max_recent = 32; // of each kind; the others have their turn later
+    crashes_.add_recent(news, start, std::min(suspects, max_recent), now);
     return news;
 }
 
