review: case 2, streams go on at other software after a restart that the store could not tell

Promise: ORDER, a stream goes on only at the software version that began it. Order of events: the store is down for 8 s; meanwhile one of four servers, the only one of v1, crashes and starts again under its id with v2, 0.3 s later; the callers of its streams take them up.

--- a/review/stand-ins/stand_ins.cpp
+++ b/review/stand-ins/stand_ins.cpp
@@ -388,9 +388,16 @@
     changed_.notify_all();
 }
 
-void store::put(const std::string& topic, const std::string& key, const std::string& value)
+bool store::put(const std::string& topic, const std::string& key, const std::string& value)
 {
+    {
+        const std::lock_guard lock(mutex_);
+        if (down_) {
+            return false;
+        }
+    }
     add(topic, {.key = key, .value = value});
+    return true;
 }
 
 void store::remove(const std::string& topic, const std::string& key)
@@ -568,7 +575,12 @@
     return options_.version;
 }
 
-void backend::write_entry(const std::string& state)
+bool backend::register_again()
+{
+    return write_entry("ready");
+}
+
+bool backend::write_entry(const std::string& state)
 {
     std::ostringstream text;
     {
@@ -579,7 +591,7 @@
              << R"(","ColdRemainingMs":0,"Sequence":)" << ++sequence_ << R"(,"born":)" << born_
              << "}";
     }
-    store_.put("keyed.servers", options_.id, text.str());
+    return store_.put("keyed.servers", options_.id, text.str());
 }
 
 const char* const host_name = "shop.example";
@@ -855,16 +867,43 @@
     return result;
 }
 
-std::vector<unsigned> event_ids(const std::string& body)
+bool send_events(const channel& caller, const http_request& request, const std::string& text,
+                 unsigned last, milliseconds interval)
+{
+    const std::string id = request.head.header("Attempt-Id");
+    bool sent = caller.send("HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Signature: " + id +
+                            ".stream\r\nContent-Type: text/event-stream\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n");
+    const std::string after = request.head.header("Last-Event-Id");
+    auto number = static_cast<unsigned>(std::atoi(after.c_str()));
+    while (sent && number < last) {
+        std::this_thread::sleep_for(interval);
+        ++number;
+        const std::string event = "id: " + std::to_string(number) + "\ndata: " + text + "\n\n";
+        char size[16];
+        std::snprintf(size, sizeof size, "%zx\r\n", event.size());
+        sent = caller.send(size + event + "\r\n");
+    }
+    return sent && caller.send("0\r\n\r\n");
+}
+
+std::vector<stream_event> events_of(const std::string& body)
 {
-    std::vector<unsigned> ids;
+    std::vector<stream_event> events;
+    stream_event current;
     std::istringstream lines(body);
     for (std::string line; std::getline(lines, line);) {
-        if (line.rfind("id:", 0) == 0) {
-            ids.push_back(static_cast<unsigned>(std::atoi(line.c_str() + 3)));
+        if (line.rfind("id: ", 0) == 0) {
+            current.id = static_cast<unsigned>(std::atoi(line.c_str() + 4));
+        }
+        else if (line.rfind("data: ", 0) == 0) {
+            current.data = line.substr(6);
+        }
+        else if (line.empty() && !lines.eof()) {
+            events.push_back(std::exchange(current, {}));
         }
     }
-    return ids;
+    return events;
 }
 
 std::string hexadecimal(std::uint64_t value)
--- a/review/stand-ins/stand_ins.h
+++ b/review/stand-ins/stand_ins.h
@@ -132,7 +132,8 @@
 public:
     explicit store(const std::string& ip);
 
-    void put(const std::string& topic, const std::string& key, const std::string& value);
+    /// Appends a record; returns false while the store is down.
+    bool put(const std::string& topic, const std::string& key, const std::string& value);
     void remove(const std::string& topic, const std::string& key);
     /// While it is down, the store answers 503 to every call (`busy`).
     void set_down(bool down);
@@ -172,13 +173,15 @@
 
     backend(store& platform, const std::string& ip, backend_options options, handler on_run);
 
-    /// Starts a new incarnation and registers it.
+    /// Starts a new incarnation, which registers itself as soon as the store takes its entry.
     void start();
     /// Ends the process: closes its listener and all its connections.
     void crash();
     void report_draining();
     /// Ends the process in order: removes its entry first.
     void leave();
+    /// Writes the entry of this incarnation; returns false while the store is down.
+    bool register_again();
     /// Software version of the incarnations that start from now on.
     void set_version(const std::string& version);
     std::string version() const;
@@ -186,7 +189,7 @@
     std::string address() const;
 
 private:
-    void write_entry(const std::string& state);
+    bool write_entry(const std::string& state);
 
     store& store_;
     mutable std::mutex mutex_;
@@ -287,8 +290,17 @@
 answer call(const std::string& ip, unsigned port, const caller_request& request,
             const std::function<void(const answer&)>& on_body = nullptr);
 
-/// The ids of the events in the body of an event stream.
-std::vector<unsigned> event_ids(const std::string& body);
+/// Answers with the events of a stream from the one after `Last-Event-Id` on, in chunks; the data
+/// of each is `text`.  Returns whether all were sent.
+bool send_events(const channel& caller, const http_request& request, const std::string& text,
+                 unsigned last, milliseconds interval);
+/// An event of a stream, as its caller has got it.
+struct stream_event {
+    unsigned id = 0;
+    std::string data;
+};
+/// The complete events in the body of an event stream.
+std::vector<stream_event> events_of(const std::string& body);
 std::string hexadecimal(std::uint64_t value);
 std::uint64_t random_number();
 
