--- a/review/stand-ins/stand_ins.cpp
+++ b/review/stand-ins/stand_ins.cpp
@@ -279,6 +279,13 @@
     shutdown(socket_, SHUT_RDWR);
 }
 
+void channel::reset()
+{
+    const linger at_once{.l_onoff = 1, .l_linger = 0};
+    setsockopt(socket_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    close(socket_.exchange(-1));
+}
+
 http_listener::http_listener(std::string ip, unsigned port, handler on_request)
     : ip_(std::move(ip)), port_(port), on_request_(std::move(on_request))
 {
--- a/review/stand-ins/stand_ins.h
+++ b/review/stand-ins/stand_ins.h
@@ -80,11 +80,13 @@
     std::optional<http_head> read_head(milliseconds limit);
     /// Ends the connection while another thread may use it.
     void shut_down() const;
+    /// Closes the connection with a reset.
+    void reset();
 
     std::string buffer; // bytes that have arrived and are not used yet
 
 private:
-    int socket_;
+    std::atomic<int> socket_;
 };
 
 /// A request with its body, as a server has read it.
