--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -18,8 +18,8 @@
 constexpr milliseconds entries_down{2900};
 constexpr milliseconds drain_time{2000};
 constexpr milliseconds exit_time{200}; // after that, until the old server is gone
-constexpr milliseconds pause_before_resuming{1000};
-constexpr unsigned tries = 6; // of a caller
+constexpr milliseconds pause_before_resuming{1100};
+constexpr unsigned tries = 4; // of a caller
 constexpr unsigned allowed = 2;
 constexpr milliseconds start_limit{20000};
 
