review: end all processes when a case is stopped, and judge the control runs by the rule alone

A control run in which an answer is incomplete exits with 2 (could not run) and no longer with 1, as the rule says nothing of that.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -144,9 +144,8 @@
                           " answers look complete and are not";
     record.line(verdict);
     std::printf("%s\n", verdict.c_str());
-    if (!arguments.trouble && incomplete > 0) {
-        record.line("answers are incomplete without the disruption");
+    if (mixed > 0) {
         return rule_broken;
     }
-    return mixed > 0 ? rule_broken : rule_held;
+    return arguments.trouble || incomplete == 0 ? rule_held : could_not_run;
 }
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -143,23 +143,17 @@
         each.id = hexadecimal(random_number());
         threads.emplace_back([&] { play(each, plans, record); });
     }
-    // The platform starts the process again when its machine has power.
-    std::thread restart;
     const bool all_began = wait_until(10s, [&] {
         return std::all_of(played.begin(), played.end(),
                            [](const auto& each) { return each->got >= events_before; });
     });
     std::atomic<unsigned> begun = 0;
     if (all_began) {
+        const auto killed_at = std::chrono::steady_clock::now();
         if (arguments.trouble) {
             record.line("SIGKILL to entry-1");
             first.signal(SIGKILL);
             first.wait_for_exit(5s);
-            restart = std::thread([&] {
-                std::this_thread::sleep_for(entry_down);
-                first.start();
-                record.line("entry-1 starts again");
-            });
         }
         std::this_thread::sleep_for(join_after);
         if (arguments.trouble && std::getenv("NO_RELEASE") == nullptr) {
@@ -179,13 +173,16 @@
             });
             std::this_thread::sleep_for(new_stream_interval);
         }
+        if (arguments.trouble) {
+            std::this_thread::sleep_until(killed_at + entry_down);
+            first.start();
+            const bool ready = wait_until(start_limit, [&] { return first.ready(); });
+            record.line(ready ? "entry-1 is ready again" : "entry-1 does not get ready again");
+        }
     }
     for (std::thread& each : threads) {
         each.join();
     }
-    if (restart.joinable()) {
-        restart.join();
-    }
     if (!all_began) {
         record.line("not all streams have begun");
         return could_not_run;
@@ -203,7 +200,7 @@
     record.line(verdict);
     std::printf("%s\n", verdict.c_str());
     if (!arguments.trouble) {
-        return begun == new_streams && taken_up == 0 ? rule_held : rule_broken;
+        return begun == new_streams && taken_up == 0 ? rule_held : could_not_run;
     }
     if (taken_up < least_streams) {
         return could_not_run;
--- a/review/stand-ins/stand_ins.cpp
+++ b/review/stand-ins/stand_ins.cpp
@@ -26,6 +26,7 @@
 
 constexpr milliseconds request_limit = 30s; // for a request to arrive on an open connection
 constexpr milliseconds poll_interval = 5ms;
+constexpr unsigned time_limit_s = 115; // of a case
 
 sockaddr_in socket_address(const std::string& ip, unsigned port)
 {
@@ -935,6 +936,7 @@
         std::fprintf(stderr, "usage: %s COMMAND FOLDER RECORD\n", values[0]);
         std::exit(could_not_run);
     }
+    alarm(time_limit_s); // ends this process, and with it the entries
     const char* trouble = std::getenv("TROUBLE");
     return {.program = values[1],
             .folder = values[2],
--- a/review/stand-ins/stand_ins.h
+++ b/review/stand-ins/stand_ins.h
@@ -239,6 +239,7 @@
     entry_process& operator=(const entry_process&) = delete;
     ~entry_process();
 
+    /// Call on the main thread: the process is killed when the thread that started it ends.
     void start();
     void signal(int number) const;
     /// Waits for the end of the process; returns its status as of waitpid, or nothing.
