--- a/Source/event_log.cpp
+++ b/Source/event_log.cpp
@@ -170,6 +170,8 @@
         {event_id::origins_read, severity::info, "origins_read"},
         {event_id::backend_leaving, severity::info, "backend_leaving"},
         {event_id::backend_resting, severity::info, "backend_resting"},
+        {event_id::origin_searched, severity::info, "origin_searched"},
+        {event_id::default_version_set, severity::info, "default_version_set"},
     }};
     return catalogue;
 }
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -80,6 +80,8 @@
     origins_read = 1818,
     backend_leaving = 1819,
     backend_resting = 1820,
+    origin_searched = 1821,
+    default_version_set = 1822,
 };
 
 /// Number, severity and name of an event.
@@ -89,7 +91,7 @@
     std::string_view name;
 };
 
-inline constexpr std::size_t event_count = 59;
+inline constexpr std::size_t event_count = 61;
 
 /// Catalogue of all events, sorted by number.
 const std::array<event_description, event_count>& event_catalogue();
--- a/Source/origin_exchange.cpp
+++ b/Source/origin_exchange.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace cyclamen {
@@ -12,6 +13,7 @@
 namespace {
 
 constexpr std::size_t max_streams_per_message = 4096;
+constexpr millis defaults_check_interval = 250ms;
 
 std::uint32_t index_of(const std::string& name, wire::stream_origins& in)
 {
@@ -54,20 +56,56 @@
 void origin_exchange::start()
 {
     state_ = &core_.find<relay_state>("knowledge");
-    state_->origins().set_past_known(false);
     state_->search_origin = [this](std::uint64_t stream, const std::string& service,
                                    on_version on_end) {
         search_for(stream, service, std::move(on_end));
     };
-    share_timer_ = core_.every(options_.share_interval, [this] { share(); });
+    state_->announce_origin = [this](std::uint64_t stream, std::function<void()> on_told) {
+        announce(stream, std::move(on_told));
+    };
+    started_at_ = core_.now();
     archive_timer_ = core_.every(options_.archive_interval, [this] { archive(); });
+    defaults_timer_ = core_.every(defaults_check_interval, [this] { maintain_defaults(); });
+    maintain_defaults();
+}
+
+// Tells others where a stream of this entry begins; `on_told` is called once they can tell it.
+void origin_exchange::announce(std::uint64_t stream, std::function<void()> on_told)
+{
+    const auto [known, added] = announcements_.try_emplace(stream);
+    announcement& open = known->second;
+    open.waiting.push_back(std::move(on_told));
+    if (added) {
+        open.since = core_.now();
+        open.timeout = core_.after(options_.announce_timeout,
+                                   [this, stream] { end_announcement(stream, false); });
+    }
+    if (!std::exchange(share_due_, true)) {
+        share_timer_ = core_.after(options_.share_delay, [this] { share(); });
+    }
+}
+
+void origin_exchange::end_announcement(std::uint64_t stream, bool archived)
+{
+    const auto found = announcements_.find(stream);
+    if (found == announcements_.end()) {
+        return;
+    }
+    const std::vector<std::function<void()>> waiting = std::move(found->second.waiting);
+    core_.latency("origin_told_ms").observe(core_.now() - found->second.since);
+    ++core_.metrics().named(archived ? "origins_archived" : "origins_told_to_peers_only");
+    announcements_.erase(found);
+    state_->origins().mark_told(stream);
+    for (const std::function<void()>& on_told : waiting) {
+        on_told();
+    }
 }
 
 void origin_exchange::share()
 {
-    const std::vector<stream_origin> streams = state_->origins().take_unshared(core_.now());
+    share_due_ = false;
     wire::stream_origins message;
-    for (const stream_origin& origin : streams) {
+    for (const stream_origin& origin : state_->origins().take_unshared()) {
         add_origin(origin, message);
         if (static_cast<std::size_t>(message.origins_size()) >= max_streams_per_message) {
             hooks_.send(std::exchange(message, {}));
@@ -83,7 +121,7 @@
     if (archive_busy_ || !hooks_.is_archiver()) {
         return;
     }
-    const std::vector<stream_origin> streams = state_->origins().take_unarchived(core_.now());
+    const std::vector<stream_origin> streams = state_->origins().take_unarchived();
     if (streams.empty()) {
         return;
     }
@@ -100,7 +138,10 @@
     archive_busy_ = true;
     hooks_.archive(slot, batch_, [this, streams, restores = restores_](bool confirmed) {
         archive_busy_ = false;
-        if (!confirmed || restores != restores_) {
+        if (confirmed && restores == restores_) {
+            on_archived(streams);
+        }
+        else {
             state_->origins().archive_failed(streams);
         }
         if (read_wanted_) {
@@ -109,10 +150,30 @@
     });
 }
 
+void origin_exchange::on_archived(const std::vector<stream_origin>& streams)
+{
+    std::map<std::string, wire::stream_origins> messages; // by peer
+    for (const stream_origin& origin : streams) {
+        const auto told_by = told_by_.extract(origin.stream);
+        if (!told_by.empty()) {
+            messages[told_by.mapped()].add_archived(origin.stream);
+        }
+        // A later attempt may have begun the stream at another version.
+        if (state_->known_origin(origin.stream, origin.service) == origin.version) {
+            end_announcement(origin.stream, true);
+        }
+    }
+    for (const auto& [peer, message] : messages) {
+        hooks_.send_to(peer, message);
+    }
+}
+
 void origin_exchange::store_restored()
 {
     ++restores_;
     state_->origins().archive_lost();
+    state_->origins().defaults_lost();
+    defaults_read_at_.reset();
 }
 
 void origin_exchange::search_for(std::uint64_t stream, const std::string& service,
@@ -131,43 +192,20 @@
     row.set_service(index_of(service, message));
     wanted.replies_due = hooks_.send(message);
     if (wanted.replies_due == 0) {
-        search_archive(stream);
-        return;
-    }
-    wanted.timeout = core_.after(options_.peer_timeout, [this, stream] { search_archive(stream); });
-}
-
-void origin_exchange::search_archive(std::uint64_t stream)
-{
-    const millis now = core_.now();
-    search& wanted = searches_.at(stream);
-    wanted.in_archive = true;
-    if (state_->origins().past_known()) {
         search_servers(stream);
         return;
     }
-    if (now - archive_failed_at_ < options_.archive_retry) {
-        end_search(stream, std::nullopt);
-        return;
-    }
-    wanted.timeout =
-        core_.after(options_.archive_timeout, [this, stream] { end_search(stream, std::nullopt); });
-    read_archive();
+    wanted.timeout = core_.after(options_.peer_timeout, [this, stream] { search_servers(stream); });
 }
 
-// A stream of which nobody has a record began at the only version that has served, if there is one.
-// An entry that is out of step, as one that was cut off or stood still, may not have heard of
-// others: it first reads the list of servers to its present end.
+// An entry that is out of step, as one that was cut off or stood still, may not have heard of all
+// versions: it first reads the list of servers to its present end.
 void origin_exchange::search_servers(std::uint64_t stream)
 {
     search& wanted = searches_.at(stream);
-    wanted.in_servers = true;
-    if (!state_->only_version(wanted.service)) {
-        end_search(stream, std::nullopt);
-        return;
-    }
+    wanted.stage = search_stage::servers;
     wanted.timeout =
-        core_.after(options_.archive_timeout, [this, stream] { end_search(stream, std::nullopt); });
+        core_.after(options_.store_timeout, [this, stream] { end_search(stream, std::nullopt); });
     servers_wanted_.push_back(stream);
     read_servers();
 }
@@ -181,17 +219,46 @@
     hooks_.read_servers([this, streams = std::exchange(servers_wanted_, {})](bool done) {
         servers_busy_ = false;
         for (const std::uint64_t stream : streams) {
-            const auto found = searches_.find(stream);
-            if (found == searches_.end()) {
-                continue;
-            }
-            const std::string service = found->second.service;
-            end_search(stream, done ? state_->only_version(service) : std::nullopt);
+            on_servers_read(stream, done);
         }
         read_servers();
     });
 }
 
+// While servers of the default version alone have served, no stream can have begun elsewhere.  What
+// served before this process has started, the archive tells.
+void origin_exchange::on_servers_read(std::uint64_t stream, bool done)
+{
+    const auto found = searches_.find(stream);
+    if (found == searches_.end()) {
+        return;
+    }
+    if (!done) {
+        end_search(stream, std::nullopt);
+        return;
+    }
+    const std::string service = found->second.service;
+    const std::optional<std::string> version = state_->default_version(service);
+    if (past_read_ && version && !state_->others_served(service, *version)) {
+        end_search(stream, version);
+        return;
+    }
+    search_archive(stream);
+}
+
+void origin_exchange::search_archive(std::uint64_t stream)
+{
+    if (core_.now() - archive_failed_at_ < options_.archive_retry) {
+        end_search(stream, std::nullopt);
+        return;
+    }
+    search& wanted = searches_.at(stream);
+    wanted.stage = search_stage::archive;
+    wanted.timeout =
+        core_.after(options_.store_timeout, [this, stream] { end_search(stream, std::nullopt); });
+    read_archive();
+}
+
 void origin_exchange::read_archive()
 {
     read_wanted_ = archive_busy_;
@@ -199,47 +266,62 @@
         return; // when the open call ends
     }
     archive_busy_ = true;
-    hooks_.read_archive([this](const std::optional<std::vector<wire::stream_origins>>& batches) {
-        archive_busy_ = false;
-        read_wanted_ = false;
-        on_archive_read(batches);
+    std::vector<std::uint64_t> streams;
+    for (const auto& [stream, wanted] : searches_) {
+        if (wanted.stage == search_stage::archive) {
+            streams.push_back(stream);
+        }
+    }
+    // A default version may have changed since it was read.
+    read_defaults([this, streams](bool done) {
+        if (!done) {
+            on_archive_read(streams, std::nullopt);
+            return;
+        }
+        hooks_.read_archive(
+            [this, streams](const auto& batches) { on_archive_read(streams, batches); });
     });
 }
 
 void origin_exchange::on_archive_read(
+    const std::vector<std::uint64_t>& streams,
     const std::optional<std::vector<wire::stream_origins>>& batches)
 {
+    archive_busy_ = false;
     const auto now = static_cast<std::uint64_t>(core_.wall_clock().count());
     const auto retention = static_cast<std::uint64_t>(stream_origins_options{}.retention.count());
-    std::size_t recent = 0;
-    if (batches) {
-        for (const wire::stream_origins& batch : *batches) {
-            if (batch.at_ms() + retention >= now) {
-                merge(batch);
-                ++recent;
-            }
+    std::vector<wire::stream_origins> recent;
+    for (const wire::stream_origins& batch : batches.value_or(recent)) {
+        if (batch.at_ms() + retention >= now) {
+            recent.push_back(batch);
         }
-        state_->origins().set_past_known(true);
+    }
+    std::sort(recent.begin(), recent.end(),
+              [](const auto& left, const auto& right) { return left.at_ms() < right.at_ms(); });
+    for (const wire::stream_origins& batch : recent) {
+        merge(batch, true);
+    }
+    if (batches) {
+        past_read_ = true;
     }
     else {
         archive_failed_at_ = core_.now();
     }
-    log_event(event_id::origins_read, "answered={} batches={} recent={} streams={}",
-              batches.has_value(), batches ? batches->size() : 0, recent, state_->origins().size());
-    std::vector<std::pair<std::uint64_t, std::string>> ended;
-    for (const auto& [stream, wanted] : searches_) {
-        if (wanted.in_archive && !wanted.in_servers) {
-            ended.emplace_back(stream, wanted.service);
+    log_event(event_id::origins_read, "answered={} batches={} recent={} streams={} wanted={}",
+              batches.has_value(), batches ? batches->size() : 0, recent.size(),
+              state_->origins().size(), streams.size());
+    for (const std::uint64_t stream : streams) {
+        const auto found = searches_.find(stream);
+        if (found == searches_.end()) {
+            continue;
         }
+        const std::string service = found->second.service;
+        const std::optional<std::string> recorded = state_->known_origin(stream, service);
+        // All streams that began elsewhere are recorded.
+        end_search(stream, recorded || !batches ? recorded : state_->default_version(service));
     }
-    for (const auto& [stream, service] : ended) {
-        const std::optional<std::string> version = state_->known_origin(stream, service);
-        if (version || !batches) {
-            end_search(stream, version);
-        }
-        else {
-            search_servers(stream);
-        }
+    if (read_wanted_) {
+        read_archive();
     }
 }
 
@@ -250,36 +332,54 @@
         return;
     }
     const std::vector<on_version> waiting = std::move(found->second.waiting);
+    log_event(event_id::origin_searched, "stream={:016x} service={} stage={} version={}", stream,
+              found->second.service, name_of(search_stage_names, found->second.stage),
+              version.value_or("?"));
     searches_.erase(found);
     for (const on_version& on_end : waiting) {
         on_end(version);
     }
 }
 
-void origin_exchange::merge(const wire::stream_origins& batch)
+void origin_exchange::merge(const wire::stream_origins& batch, bool archived)
 {
     for (const wire::stream_origin& row : batch.origins()) {
-        if (const auto origin = origin_of(row, batch)) {
+        const auto origin = origin_of(row, batch);
+        if (!origin) {
+            continue;
+        }
+        if (archived) {
+            state_->origins().merge_archived(*origin, core_.now());
+        }
+        else {
             state_->origins().merge(*origin, core_.now());
         }
     }
 }
 
-std::optional<wire::stream_origins> origin_exchange::handle(const wire::stream_origins& message)
+std::optional<wire::stream_origins> origin_exchange::handle(const std::string& peer,
+                                                            const wire::stream_origins& message)
 {
-    merge(message);
+    merge(message, false);
+    take_defaults(message);
+    for (const std::uint64_t stream : message.archived()) {
+        end_announcement(stream, true);
+    }
     for (const wire::stream_origin& row : message.origins()) {
         const auto wanted = searches_.find(row.stream());
         if (wanted != searches_.end()) {
             const std::string service = wanted->second.service;
             end_search(row.stream(), state_->known_origin(row.stream(), service));
         }
+        else if (hooks_.is_archiver()) {
+            told_by_[row.stream()] = peer;
+        }
     }
     for (const std::uint64_t stream : message.unknown()) {
         const auto found = searches_.find(stream);
-        if (found != searches_.end() && !found->second.in_archive &&
+        if (found != searches_.end() && found->second.stage == search_stage::peers &&
             --found->second.replies_due == 0) {
-            search_archive(stream);
+            search_servers(stream);
         }
     }
     wire::stream_origins reply;
@@ -301,11 +401,140 @@
     return reply;
 }
 
+// Reads the default versions at the start and when they are old, and archives those that are due.
+void origin_exchange::maintain_defaults()
+{
+    const millis now = core_.now();
+    std::erase_if(told_by_,
+                  [this](const auto& row) { return !state_->origins().contains(row.first); });
+    if (defaults_busy_ || now - defaults_failed_at_ < options_.archive_retry) {
+        return;
+    }
+    const bool archives = hooks_.is_archiver();
+    const millis limit = archives ? options_.defaults_interval : options_.defaults_overdue;
+    if (!defaults_read_at_ || now - *defaults_read_at_ >= limit) {
+        read_defaults([this](bool done) {
+            if (done && hooks_.is_archiver()) {
+                broadcast_defaults();
+            }
+        });
+        return;
+    }
+    if (archives && now - started_at_ >= options_.settle_time &&
+        !state_->origins().defaults_due(now).empty()) {
+        archive_due_defaults();
+    }
+}
+
+void origin_exchange::read_defaults(on_done on_end)
+{
+    defaults_wanted_.push_back(std::move(on_end));
+    if (defaults_busy_) {
+        return; // when the open call ends
+    }
+    defaults_busy_ = true;
+    hooks_.read_defaults([this, asked_at = core_.now()](const auto& defaults) {
+        defaults_busy_ = false;
+        on_defaults_read(asked_at, defaults);
+    });
+}
+
+void origin_exchange::on_defaults_read(millis asked_at,
+                                       const std::optional<wire::stream_origins>& defaults)
+{
+    if (defaults) {
+        defaults_read_at_ = asked_at;
+        for (const wire::default_version& row : defaults->defaults()) {
+            state_->set_default_version(row.service(), row.version(), asked_at);
+        }
+    }
+    else {
+        defaults_failed_at_ = core_.now();
+    }
+    for (const on_done& on_end : std::exchange(defaults_wanted_, {})) {
+        on_end(defaults.has_value());
+    }
+}
+
+// Reads the list of servers to its end before, because the version that it replaces may be back.
+void origin_exchange::archive_due_defaults()
+{
+    defaults_busy_ = true;
+    const auto end = [this](bool done) {
+        defaults_busy_ = false;
+        if (!done) {
+            defaults_failed_at_ = core_.now();
+        }
+        if (!defaults_wanted_.empty()) {
+            read_defaults([](bool /*done*/) {});
+        }
+    };
+    hooks_.read_servers([this, end, restores = restores_](bool done) {
+        state_->note_versions();
+        std::map<std::string, std::string> versions = state_->origins().default_versions();
+        const auto due = state_->origins().defaults_due(core_.now());
+        if (!done || due.empty() || restores != restores_) {
+            end(done);
+            return;
+        }
+        wire::stream_origins message;
+        for (const auto& [service, version] : due) {
+            versions[service] = version;
+        }
+        for (const auto& [service, version] : versions) {
+            wire::default_version& row = *message.add_defaults();
+            row.set_service(service);
+            row.set_version(version);
+        }
+        hooks_.archive_defaults(message, [this, end, message, restores](bool confirmed) {
+            if (confirmed && restores == restores_) {
+                on_defaults_archived(message);
+            }
+            end(confirmed);
+        });
+    });
+}
+
+void origin_exchange::on_defaults_archived(const wire::stream_origins& defaults)
+{
+    const millis now = core_.now();
+    defaults_read_at_ = now;
+    for (const wire::default_version& row : defaults.defaults()) {
+        state_->set_default_version(row.service(), row.version(), now);
+    }
+    broadcast_defaults();
+}
+
+void origin_exchange::broadcast_defaults()
+{
+    wire::stream_origins message;
+    const millis age = core_.now() - defaults_read_at_.value_or(core_.now());
+    for (const auto& [service, version] : state_->origins().default_versions()) {
+        wire::default_version& row = *message.add_defaults();
+        row.set_service(service);
+        row.set_version(version);
+        row.set_age_ms(static_cast<std::uint32_t>(age.count()));
+    }
+    if (message.defaults_size() > 0) {
+        hooks_.broadcast(message);
+    }
+}
+
+void origin_exchange::take_defaults(const wire::stream_origins& from)
+{
+    for (const wire::default_version& row : from.defaults()) {
+        const millis read_at = core_.now() - millis(row.age_ms());
+        state_->set_default_version(row.service(), row.version(), read_at);
+        defaults_read_at_ = std::max(defaults_read_at_.value_or(read_at), read_at);
+    }
+}
+
 nlohmann::json origin_exchange::describe() const
 {
     return {{"streams", state_->origins().size()},
             {"searches", searches_.size()},
-            {"past_known", state_->origins().past_known()}};
+            {"announcements", announcements_.size()},
+            {"default_versions", state_->origins().default_versions()}};
 }
 
 } // namespace cyclamen
--- a/Source/origin_exchange.h
+++ b/Source/origin_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "enum_names.h"
 #include "kernel.h"
 #include "service.h"
 #include "stream_origins.h"
@@ -7,6 +8,7 @@
 #include <nlohmann/json_fwd.hpp>
 #include <wire.pb.h>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -18,39 +20,65 @@
 
 class relay_state;
 
+/// What a search for the origin of a stream waits for, in this order.
+enum class search_stage { peers, servers, archive };
+
+inline constexpr std::array search_stage_names{
+    enum_name<search_stage>{search_stage::peers, "peers"},
+    enum_name<search_stage>{search_stage::servers, "servers"},
+    enum_name<search_stage>{search_stage::archive, "archive"},
+};
+
 struct origin_exchange_options {
-    // Streams that begin within these times before all entries are killed cannot be continued.
-    millis share_interval = 15ms;   // between two messages with new streams to a peer
+    millis share_delay = 5ms;       // collects the new streams of one message to the peers
     millis archive_interval = 60ms; // between two writes of new streams
+    // Longest time that a new stream waits until the archive holds it.  After that, the peers alone
+    // can tell where it began.
+    millis announce_timeout = 150ms;
     // Streams of this time make up one record of the archive, which is written again as they come.
     millis archive_slot = 1000ms;
-    // Time in which the peers, and then the archive, can tell where a stream began.
+    // Time in which the peers, and then the store, can tell where a stream began.
     millis peer_timeout = 60ms;
-    millis archive_timeout = 400ms;
+    millis store_timeout = 400ms;
     millis archive_retry = 1000ms; // after the archive could not be read
+    // Time after the start in which the entries hear of each other, so that one archives for all.
+    millis settle_time = 1000ms;
+    // Age at which the entry that archives reads the default versions again, and the age at which
+    // any other does because it has not been told of them.
+    millis defaults_interval = 10000ms;
+    millis defaults_overdue = 20000ms;
 };
 
-/// Shares with the peers at which software version streams began while servers of several versions
-/// serve, so that callers can take a stream up again at any entry, and archives it in the store, so
-/// that they can when all entries have restarted.  Owned by the kernel as "origins".
+/// Shares with the peers at which software version streams began, so that callers can take a stream
+/// up again at any entry, and archives it in the store, so that they can when all entries have
+/// restarted.  See `stream_origins` for the streams that need this.  Owned by the kernel as
+/// "origins".
 class origin_exchange : public service {
 public:
+    using on_done = std::function<void(bool done)>;
+    using on_defaults = std::function<void(const std::optional<wire::stream_origins>& defaults)>;
     struct hooks {
         /// Sends a message to the peers that hold the streams of all entries; returns the number
         /// of peers.
         std::function<std::size_t(const wire::stream_origins&)> send;
+        /// Sends a message to all peers.
+        std::function<void(const wire::stream_origins&)> broadcast;
+        /// Sends a message to the peer that `handle` named.
+        std::function<void(const std::string& peer, const wire::stream_origins&)> send_to;
         /// Whether this entry archives the streams of all.
         std::function<bool()> is_archiver;
         /// Replaces a record of the archive, of which the slot is the number; passes on whether
         /// that is confirmed.
-        std::function<void(std::uint64_t slot, const wire::stream_origins&,
-                           std::function<void(bool)>)>
-            archive;
+        std::function<void(std::uint64_t slot, const wire::stream_origins&, on_done)> archive;
         /// Reads the archive; passes nothing on if the store does not answer.
         std::function<void(std::function<void(std::optional<std::vector<wire::stream_origins>>)>)>
             read_archive;
+        /// Replaces the archived default versions; passes on whether that is confirmed.
+        std::function<void(const wire::stream_origins&, on_done)> archive_defaults;
+        /// Reads the archived default versions; passes nothing on if the store does not answer.
+        std::function<void(on_defaults)> read_defaults;
         /// Reads the list of backend servers to its present end; passes on whether that was done.
-        std::function<void(std::function<void(bool)>)> read_servers;
+        std::function<void(on_done)> read_servers;
     };
 
     origin_exchange(kernel& core, origin_exchange_options options, hooks collaborators);
@@ -60,8 +88,9 @@
     nlohmann::json describe() const override;
 
     /// Handles a message of a peer; returns the reply, if there is one to send.
-    std::optional<wire::stream_origins> handle(const wire::stream_origins& message);
-    /// Archives all streams again: the store was restored from an older copy.
+    std::optional<wire::stream_origins> handle(const std::string& peer,
+                                               const wire::stream_origins& message);
+    /// Archives all again: the store was restored from an older copy.
     void store_restored();
 
 private:
@@ -69,28 +98,50 @@
     struct search {
         std::string service;
         std::vector<on_version> waiting;
+        search_stage stage = search_stage::peers;
         std::size_t replies_due = 0; // peers that have not replied yet
-        bool in_archive = false;     // the peers don't know it
-        bool in_servers = false;     // the archive does not know it either
+        kernel::timer timeout;
+    };
+    struct announcement {
+        std::vector<std::function<void()>> waiting;
+        millis since{0};
         kernel::timer timeout;
     };
 
+    void announce(std::uint64_t stream, std::function<void()> on_told);
+    void end_announcement(std::uint64_t stream, bool archived);
+    void share();
+    void archive();
+    void on_archived(const std::vector<stream_origin>& streams);
+
     void search_for(std::uint64_t stream, const std::string& service, on_version on_end);
-    void search_archive(std::uint64_t stream);
     void search_servers(std::uint64_t stream);
     void read_servers();
+    void on_servers_read(std::uint64_t stream, bool done);
+    void search_archive(std::uint64_t stream);
     void read_archive();
-    void on_archive_read(const std::optional<std::vector<wire::stream_origins>>& batches);
+    void on_archive_read(const std::vector<std::uint64_t>& streams,
+                         const std::optional<std::vector<wire::stream_origins>>& batches);
     void end_search(std::uint64_t stream, const std::optional<std::string>& version);
-    void share();
-    void archive();
-    void merge(const wire::stream_origins& batch);
+    void merge(const wire::stream_origins& batch, bool archived);
+
+    void maintain_defaults();
+    void read_defaults(on_done on_end);
+    void on_defaults_read(millis asked_at, const std::optional<wire::stream_origins>& defaults);
+    void archive_due_defaults();
+    void on_defaults_archived(const wire::stream_origins& defaults);
+    void broadcast_defaults();
+    void take_defaults(const wire::stream_origins& from);
 
     kernel& core_;
     origin_exchange_options options_;
     hooks hooks_;
     relay_state* state_ = nullptr;
-    std::map<std::uint64_t, search> searches_;  // by stream
+    millis started_at_{0};
+    std::map<std::uint64_t, announcement> announcements_; // by stream
+    std::map<std::uint64_t, search> searches_;            // by stream
+    // Streams that a peer has told this entry and that are not known to be archived, by stream.
+    std::map<std::uint64_t, std::string> told_by_;
     std::uint64_t slot_ = 0;                    // of the archive, for the time of the last write
     wire::stream_origins batch_;                // contents of that slot
     std::vector<std::uint64_t> servers_wanted_; // streams for which the list is to be read next
@@ -99,8 +150,15 @@
     bool archive_busy_ = false;          // one call at a time
     unsigned restores_ = 0;              // restores of the store that were noticed
     millis archive_failed_at_{-1000000}; // initially long past
+    bool past_read_ = false;             // the archive was read since the start
+    bool defaults_busy_ = false;         // one call at a time
+    std::vector<on_done> defaults_wanted_;
+    millis defaults_failed_at_{-1000000}; // initially long past
+    std::optional<millis> defaults_read_at_;
+    bool share_due_ = false;
     kernel::timer share_timer_;
     kernel::timer archive_timer_;
+    kernel::timer defaults_timer_;
 };
 
 } // namespace cyclamen
--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -174,13 +174,33 @@
     return receivers;
 }
 
+void peer_gossip::broadcast_origins(const wire::stream_origins& message)
+{
+    for (const auto& [address, row] : peers_) {
+        if (core_.now() - row.last_seen < silence_limit()) {
+            send_origins_to(address, message);
+        }
+    }
+}
+
+void peer_gossip::send_origins_to(const std::string& peer, const wire::stream_origins& message)
+{
+    const auto found = peers_.find(peer);
+    if (found == peers_.end()) {
+        return;
+    }
+    wire::envelope envelope;
+    *envelope.mutable_stream_origins() = message;
+    found->second.socket->send({}, std::move(envelope));
+}
+
 // A question comes by the socket of the peer that asks, and the answer by the one of this entry.
 void peer_gossip::handle_origins(const std::string& route, const wire::stream_origins& message)
 {
     if (!on_origins) {
         return;
     }
-    if (auto reply = on_origins(message)) {
+    if (auto reply = on_origins(route, message)) {
         wire::envelope envelope;
         *envelope.mutable_stream_origins() = std::move(*reply);
         listen_socket_->send(route, std::move(envelope));
--- a/Source/peer_gossip.h
+++ b/Source/peer_gossip.h
@@ -84,10 +84,16 @@
     /// Sends where streams began, or questions about that, to the entries that hold them for all:
     /// all peers, or the log readers if there are many peers.  Returns the number of receivers.
     std::size_t send_origins(const wire::stream_origins& message);
+    /// Sends a message about streams to all peers that are heard.
+    void broadcast_origins(const wire::stream_origins& message);
+    /// Sends a message about streams to the peer with this address, if it is known.
+    void send_origins_to(const std::string& peer, const wire::stream_origins& message);
     /// Whether this entry is the first of those that read the logs.
     bool first_log_reader() const { return log_readers_before() == 0; }
-    /// Handles a message about streams; returns the reply, if any.
-    std::function<std::optional<wire::stream_origins>(const wire::stream_origins&)> on_origins;
+    /// Handles a message about streams of the peer with this address; returns the reply, if any.
+    std::function<std::optional<wire::stream_origins>(const std::string& peer,
+                                                      const wire::stream_origins&)>
+        on_origins;
 
     /// Returns whether this entry's last read of each log from the log service succeeded.
     std::function<bool()> source_answers;
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -58,7 +58,7 @@
 {
     caller_->on_disconnected = [this] { on_caller_disconnect(); };
     caller_->on_drained = [this] {
-        if (connection_ != nullptr) {
+        if (connection_ != nullptr && !origin_untold_) {
             connection_->pause_reading(false);
         }
     };
@@ -288,10 +288,7 @@
         {.suspects = suspects(), .server = backend_incarnation_, .service = hash_of(service_)});
     trial_ = choice.trial;
     software_version_ = server.entry.software_version;
-    if (route_->kind == route_kind::stream && route_->resumable) {
-        context_.state.origins().record(
-            {.stream = stream_id(), .service = service_, .version = software_version_}, sent_at_);
-    }
+    announce_origin();
     tried_backends_.insert(backend_id_);
     ++server.in_flight;
     for (const std::uint64_t part : shared_prefix_segments()) {
@@ -345,6 +342,42 @@
                        .on_end = [this](http_call_result end) { on_call_end(end); }});
 }
 
+// Without this, a caller that takes the stream up again at another entry could get events of
+// another software version.
+void relay_exchange::announce_origin()
+{
+    origin_untold_ = false;
+    untold_events_.clear();
+    untold_end_.reset();
+    if (route_->kind != route_kind::stream || !route_->resumable) {
+        return;
+    }
+    origin_untold_ = true;
+    context_.state.begin_stream(
+        {.stream = stream_id(), .service = service_, .version = software_version_},
+        [self = std::weak_ptr(self_)] {
+            const auto exchange = self.lock();
+            if (exchange != nullptr && !(*exchange)->ended_) {
+                (*exchange)->on_origin_told();
+            }
+        });
+}
+
+void relay_exchange::on_origin_told()
+{
+    if (!std::exchange(origin_untold_, false) || untold_events_.empty()) {
+        return;
+    }
+    held_time_ += context_.core.now() - untold_since_;
+    if (connection_ != nullptr) {
+        connection_->pause_reading(false);
+    }
+    on_response_body(std::exchange(untold_events_, {}));
+    if (untold_end_ && !ended_) {
+        on_call_end(*std::exchange(untold_end_, std::nullopt));
+    }
+}
+
 void relay_exchange::end_trial(bool accepted)
 {
     if (std::exchange(trial_, false)) {
@@ -487,6 +520,12 @@
     if (mode_ == body_mode::discard) {
         return;
     }
+    if (origin_untold_ && mode_ == body_mode::events) {
+        untold_since_ = untold_events_.empty() ? heard_at_ : untold_since_;
+        untold_events_.append(data);
+        connection_->pause_reading(true);
+        return;
+    }
     const std::string_view ready = mode_ == body_mode::events ? ready_events(data) : data;
     forward_body(ready);
 }
@@ -534,6 +573,10 @@
 
 void relay_exchange::on_call_end(http_call_result outcome)
 {
+    if (origin_untold_ && !untold_events_.empty()) {
+        untold_end_ = outcome;
+        return;
+    }
     backend* server = context_.state.backends().find(backend_id_);
     const millis now = context_.core.now();
     std::optional<attempt_outcome> failure = failure_;
@@ -811,11 +854,11 @@
     context_.core.latency("request_ms").observe(took);
     log_event(event_id::request_ended,
               "request={} route={} account={} status={} outcome={} ms={} tries={} backend={} "
-              "connection={} version={}",
+              "connection={} held_ms={} version={}",
               metadata_.id, route_ == nullptr ? "-" : route_->name,
               account_ == nullptr ? "-" : account_->name, status_, outcome, took.count(),
               tried_backends_.size(), backend_id_,
-              call_end_ ? name_of(http_call_result_names, *call_end_) : "-",
+              call_end_ ? name_of(http_call_result_names, *call_end_) : "-", held_time_.count(),
               table_ == nullptr ? 0 : table_->version());
     on_end_(*this);
 }
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -92,6 +92,8 @@
     void wait_for_backend(const backend_choice& choice);
     bool take_late_wait(millis now);
     void send(const backend_choice& choice);
+    void announce_origin();
+    void on_origin_told();
     bool on_response_head(const http_head& head);
     void end_trial(bool accepted);
     void note_server_words(const http_head& head, const response_metadata& metadata);
@@ -157,6 +159,12 @@
     std::string service_;          // chosen among the services of the route
     std::string software_version_; // of that server
     std::optional<std::string> stream_version_; // the only one that can continue the stream
+    // Set while others can't tell where the stream began: its events are held back.
+    bool origin_untold_ = false;
+    std::string untold_events_;
+    std::optional<http_call_result> untold_end_;            // of the call that brought them
+    millis untold_since_{0};                                // when the first of them arrived
+    millis held_time_{0};                                   // for which events were held back
     std::optional<crash_detector::attempt_number> attempt_; // open at the server
     millis sent_at_{0};
     millis heard_at_{0}; // when bytes of its response last arrived
@@ -169,7 +177,8 @@
     std::optional<http_call_result> call_end_; // of the latest attempt
     int status_ = 0;                           // status sent to the caller; 0 before that
     bool ended_ = false;
-    // Callbacks of the search for a stream's origin hold a weak reference.
+    // Callbacks of the search for a stream's origin, and of its announcement, hold a weak
+    // reference.
     std::shared_ptr<relay_exchange*> self_ = std::make_shared<relay_exchange*>(this);
     bool last_look_ = false; // makes no further attempt, begins no response that is not complete
     std::optional<http_head> held_head_; // of a response that arrives during the last look
--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -42,10 +42,33 @@
     }
 }
 
-std::optional<std::string> relay_state::only_version(const std::string& service)
+bool relay_state::others_served(const std::string& service, const std::string& version)
 {
     note_versions();
-    return origins_.only_version(service, core_.now());
+    return origins_.others_served(service, version, core_.now());
+}
+
+void relay_state::set_default_version(const std::string& service, const std::string& version,
+                                      millis read_at)
+{
+    const std::map<std::string, std::string> before = origins_.default_versions();
+    origins_.set_default(service, version, read_at);
+    const std::string now = origins_.default_versions().at(service);
+    const auto found = before.find(service);
+    if (found == before.end() || found->second != now) {
+        log_event(event_id::default_version_set, "service={} software={} before={} age_ms={}",
+                  service, now, found == before.end() ? "?" : found->second,
+                  (core_.now() - read_at).count());
+    }
+}
+
+void relay_state::begin_stream(const stream_origin& origin, std::function<void()> on_told)
+{
+    if (!origins_.record(origin, core_.now()) || !announce_origin) {
+        on_told();
+        return;
+    }
+    announce_origin(origin.stream, std::move(on_told));
 }
 
 void relay_state::find_origin(std::uint64_t stream, const std::string& service,
--- a/Source/relay_state.h
+++ b/Source/relay_state.h
@@ -99,9 +99,23 @@
     {
         return origins_.find(stream, service, core_.now());
     }
-    /// The version of all servers of the service, if they have had no other.  Tells where a stream
-    /// began only while this entry has read the list of servers to its end.
-    std::optional<std::string> only_version(const std::string& service);
+    /// The version at which the streams of the service began that have no record; empty if it is
+    /// not known for certain.
+    std::optional<std::string> default_version(const std::string& service) const
+    {
+        return origins_.default_version(service, core_.now());
+    }
+    void set_default_version(const std::string& service, const std::string& version,
+                             millis read_at);
+    /// Whether servers of another version have served lately.
+    bool others_served(const std::string& service, const std::string& version);
+    /// Notes the versions of the listed servers.
+    void note_versions();
+    /// Records where a stream of this entry begins.  Its caller may get no event before `on_told`
+    /// is called, which may be at once.
+    void begin_stream(const stream_origin& origin, std::function<void()> on_told);
+    /// Tells others where a stream begins.  If unset, there are none.
+    std::function<void(std::uint64_t stream, std::function<void()> on_told)> announce_origin;
     /// Finds the software version at which a stream of the service began; passes on none if it
     /// can't be known.  May call back at once.
     void find_origin(std::uint64_t stream, const std::string& service,
@@ -175,7 +189,6 @@
     void check_quarantine();
     void on_server_ended(const std::string& id, std::uint64_t incarnation, server_end_sign sign);
     void end_predecessors(const backend_entry& entry);
-    void note_versions();
     void mark_source_lost(const std::string& why);
     void mark_source_regained();
 
--- a/Source/stream_origins.cpp
+++ b/Source/stream_origins.cpp
@@ -5,12 +5,17 @@
 
 namespace cyclamen {
 
-bool stream_origins::put(const stream_origin& origin, millis now)
+// Returns whether the stream is new or its origin has changed.
+bool stream_origins::put(const stream_origin& origin, news told, millis now)
 {
     const auto [known, added] = streams_.try_emplace(origin.stream);
     const bool changed = added || known->second.origin.version != origin.version ||
                          known->second.origin.service != origin.service;
-    known->second = {.origin = origin, .used_at = now};
+    if (!changed) {
+        known->second.used_at = now;
+        return false;
+    }
+    known->second = {.origin = origin, .used_at = now, .told = told};
     if (added) {
         order_.push_back(origin.stream);
     }
@@ -18,22 +23,41 @@
         streams_.erase(order_.front());
         order_.pop_front();
     }
-    if (changed) {
+    return true;
+}
+
+bool stream_origins::record(const stream_origin& origin, millis now)
+{
+    const auto known = streams_.find(origin.stream);
+    const bool unknown_to_others = known == streams_.end() || known->second.told == news::needless;
+    const bool needless =
+        unknown_to_others && begins_unrecorded(origin.service, origin.version, now);
+    if (put(origin, needless ? news::needless : news::due, now) && !needless) {
+        unshared_.push_back(origin.stream);
         unarchived_.push_back(origin.stream);
     }
-    return changed;
+    return streams_.at(origin.stream).told == news::due;
 }
 
-void stream_origins::record(const stream_origin& origin, millis now)
+void stream_origins::mark_told(std::uint64_t stream)
 {
-    if (put(origin, now)) {
-        unshared_.push_back(origin.stream);
+    const auto found = streams_.find(stream);
+    if (found != streams_.end() && found->second.told == news::due) {
+        found->second.told = news::told;
     }
 }
 
 void stream_origins::merge(const stream_origin& origin, millis now)
 {
-    put(origin, now);
+    if (put(origin, news::told, now)) {
+        unarchived_.push_back(origin.stream);
+    }
+    note_version(origin.service, origin.version, now);
+}
+
+void stream_origins::merge_archived(const stream_origin& origin, millis now)
+{
+    put(origin, news::told, now);
     note_version(origin.service, origin.version, now);
 }
 
@@ -52,66 +76,131 @@
                                   millis now)
 {
     millis& last = versions_[service].try_emplace(version, now).first->second;
+    const auto found = defaults_.find(service);
+    // An entry that has not seen the version for so long may be about to replace it as default.
+    if (now - last >= options_.retention / 2 && found != defaults_.end() &&
+        found->second.version == version) {
+        found->second.read_at.reset();
+    }
     last = std::max(last, now);
 }
 
-bool stream_origins::several_versions(const std::string& service, millis now) const
+bool stream_origins::others_served(const std::string& service, const std::string& version,
+                                   millis now) const
 {
     const auto found = versions_.find(service);
     return found != versions_.end() &&
-           std::count_if(found->second.begin(), found->second.end(), [&](const auto& item) {
-               return now - item.second < options_.retention;
-           }) > 1;
+           std::any_of(found->second.begin(), found->second.end(), [&](const auto& item) {
+               return item.first != version && now - item.second < options_.retention;
+           });
 }
 
-std::optional<std::string> stream_origins::only_version(const std::string& service,
-                                                        millis now) const
+void stream_origins::set_default(const std::string& service, const std::string& version,
+                                 millis read_at)
 {
-    const auto found = versions_.find(service);
-    if (!past_known_ || found == versions_.end() || several_versions(service, now)) {
+    const auto [known, added] = defaults_.try_emplace(service);
+    default_entry& entry = known->second;
+    if (!added && entry.read_at.value_or(read_at) > read_at) {
+        return;
+    }
+    if (added || entry.version != version) {
+        entry = {.version = version, .read_at = read_at};
+        // Its servers may have left at any time before.
+        versions_[service].try_emplace(version, read_at);
+    }
+    entry.read_at = read_at;
+    entry.archived = true;
+}
+
+void stream_origins::defaults_lost()
+{
+    for (auto& [service, entry] : defaults_) {
+        entry.archived = false;
+        entry.read_at.reset();
+    }
+}
+
+std::map<std::string, std::string> stream_origins::default_versions() const
+{
+    std::map<std::string, std::string> result;
+    for (const auto& [service, entry] : defaults_) {
+        result[service] = entry.version;
+    }
+    return result;
+}
+
+std::optional<std::string> stream_origins::default_version(const std::string& service,
+                                                           millis now) const
+{
+    const auto found = defaults_.find(service);
+    if (found == defaults_.end() || !found->second.read_at ||
+        now - *found->second.read_at >= options_.default_lifetime) {
         return std::nullopt;
     }
-    for (const auto& [version, seen_at] : found->second) {
-        if (now - seen_at < options_.retention) {
-            return version;
+    return found->second.version;
+}
+
+bool stream_origins::begins_unrecorded(const std::string& service, const std::string& version,
+                                       millis now) const
+{
+    return default_version(service, now) == version;
+}
+
+std::map<std::string, std::string> stream_origins::defaults_due(millis now) const
+{
+    std::map<std::string, std::string> due;
+    for (const auto& [service, entry] : defaults_) {
+        if (!entry.archived) {
+            due[service] = entry.version;
+        }
+    }
+    for (const auto& [service, versions] : versions_) {
+        std::vector<std::string> recent;
+        for (const auto& [version, seen_at] : versions) {
+            if (now - seen_at < options_.retention) {
+                recent.push_back(version);
+            }
+        }
+        const auto found = defaults_.find(service);
+        if (recent.size() == 1 &&
+            (found == defaults_.end() || found->second.version != recent.front())) {
+            due[service] = recent.front();
         }
     }
-    return std::nullopt;
+    return due;
 }
 
-// Removes the streams at services with several versions from `pending`, and returns them.
-std::vector<stream_origin> stream_origins::take(std::vector<std::uint64_t>& pending, millis now)
+std::vector<stream_origin> stream_origins::take(std::vector<std::uint64_t>& pending) const
 {
     std::vector<stream_origin> taken;
-    std::vector<std::uint64_t> left;
-    for (const std::uint64_t id : pending) {
+    for (const std::uint64_t id : std::exchange(pending, {})) {
         const auto found = streams_.find(id);
-        if (found == streams_.end()) {
-            continue;
-        }
-        if (!several_versions(found->second.origin.service, now)) {
-            left.push_back(id);
-            continue;
+        if (found != streams_.end()) {
+            taken.push_back(found->second.origin);
         }
-        taken.push_back(found->second.origin);
     }
-    pending = std::move(left);
     return taken;
 }
 
-std::vector<stream_origin> stream_origins::take_unshared(millis now)
+std::vector<stream_origin> stream_origins::take_unshared()
 {
-    return take(unshared_, now);
+    return take(unshared_);
 }
 
-std::vector<stream_origin> stream_origins::take_unarchived(millis now)
+std::vector<stream_origin> stream_origins::take_unarchived()
 {
-    return take(unarchived_, now);
+    return take(unarchived_);
 }
 
 void stream_origins::archive_lost()
 {
-    unarchived_.assign(order_.begin(), order_.end());
+    unarchived_.clear();
+    for (const std::uint64_t id : order_) {
+        const auto found = streams_.find(id);
+        if (found != streams_.end() && found->second.told != news::needless) {
+            unarchived_.push_back(id);
+        }
+    }
 }
 
 void stream_origins::archive_failed(const std::vector<stream_origin>& origins)
--- a/Source/stream_origins.h
+++ b/Source/stream_origins.h
@@ -24,56 +24,87 @@
     // Time in which callers take a stream up again, from its last use; callers wait for a minute at
     // most.
     millis retention = 60000ms;
+    // Time for which a default version is relied on after it was last read from the archive.
+    millis default_lifetime = 30000ms;
     std::size_t max_streams = 65536; // the oldest ones are forgotten first
 };
 
 /// Remembers at which software version each recent event stream began: what two versions write does
-/// not fit together, so a stream may continue only at the version that began it.  Reads no clock:
-/// the caller passes the current time.
+/// not fit together, so a stream may continue only at the version that began it.
+///
+/// Each service has one default version, which the archive keeps.  Streams that begin there need no
+/// record.  All others are recorded with the peers and in the archive before their callers get an
+/// event, so that a stream without a record began at the default version.  Reads no clock: the
+/// caller passes the current time.
 class stream_origins {
 public:
     explicit stream_origins(stream_origins_options options = {}) : options_(options) {}
 
-    /// Records a stream of this entry.
-    void record(const stream_origin& origin, millis now);
-    /// Records a stream that a peer, or an earlier process, has recorded.
+    /// Records a stream of this entry.  Returns whether others have to be told of it before its
+    /// caller gets an event; see `mark_told`.
+    bool record(const stream_origin& origin, millis now);
+    /// Records that others can tell where the stream began.
+    void mark_told(std::uint64_t stream);
+    /// Records a stream that a peer has recorded.
     void merge(const stream_origin& origin, millis now);
+    /// Records a stream that was read from the archive.
+    void merge_archived(const stream_origin& origin, millis now);
     /// The software version at which the stream began, if it is known to have begun at `service`.
     std::optional<std::string> find(std::uint64_t stream, const std::string& service,
                                     millis now) const;
 
     /// Notes that a backend server of the service runs this version, or has just left.
     void note_version(const std::string& service, const std::string& version, millis now);
-    /// Whether servers of several versions have served within the retention period.
-    bool several_versions(const std::string& service, millis now) const;
-    /// The only version that has served within the retention period; empty if there were several,
-    /// or if it is not known what served then.
-    std::optional<std::string> only_version(const std::string& service, millis now) const;
-    /// Notes whether it is known what served before this process has started.
-    void set_past_known(bool known) { past_known_ = known; }
-    bool past_known() const { return past_known_; }
+    /// Whether servers of another version than this one have served within the retention period.
+    bool others_served(const std::string& service, const std::string& version, millis now) const;
 
-    /// Streams of this entry that peers were not told of, at services with several versions.
-    std::vector<stream_origin> take_unshared(millis now);
-    /// Streams of all entries that are not archived, at services with several versions.
-    std::vector<stream_origin> take_unarchived(millis now);
-    /// Marks all streams as not archived.
+    /// Sets the default version of a service, as the archive held it at `read_at`; ignored if a
+    /// later reading is known.
+    void set_default(const std::string& service, const std::string& version, millis read_at);
+    /// Marks the default versions as not archived, so that none is relied on until it is again.
+    void defaults_lost();
+    /// All known default versions, by service.
+    std::map<std::string, std::string> default_versions() const;
+    /// The default version; empty if the archive was not read recently, or held none.
+    std::optional<std::string> default_version(const std::string& service, millis now) const;
+    /// Whether streams may begin at the version without a record.
+    bool begins_unrecorded(const std::string& service, const std::string& version,
+                           millis now) const;
+    /// Default versions that should be archived: lost ones, those of services that have none, and
+    /// of those whose servers have run the same other version throughout the retention period. Call
+    /// only after the archive was read.
+    std::map<std::string, std::string> defaults_due(millis now) const;
+
+    /// Streams of this entry that peers were not told of.
+    std::vector<stream_origin> take_unshared();
+    /// Streams of all entries that are not known to be archived.
+    std::vector<stream_origin> take_unarchived();
+    /// Marks all streams that need a record as not archived.
     void archive_lost();
     /// Marks these streams as not archived.
     void archive_failed(const std::vector<stream_origin>& origins);
 
     /// Forgets what is older than the retention period.
     void sweep(millis now);
+    bool contains(std::uint64_t stream) const { return streams_.contains(stream); }
     std::size_t size() const { return streams_.size(); }
 
 private:
+    // What others have to know of a stream.
+    enum class news { needless, due, told };
     struct stream {
         stream_origin origin;
         millis used_at{0};
+        news told = news::needless;
+    };
+    struct default_entry {
+        std::string version;
+        std::optional<millis> read_at; // unset if it has to be read again
+        bool archived = true;
     };
 
-    bool put(const stream_origin& origin, millis now);
-    std::vector<stream_origin> take(std::vector<std::uint64_t>& pending, millis now);
+    bool put(const stream_origin& origin, news told, millis now);
+    std::vector<stream_origin> take(std::vector<std::uint64_t>& pending) const;
 
     stream_origins_options options_;
     std::unordered_map<std::uint64_t, stream> streams_; // by stream
@@ -82,7 +113,7 @@
     std::vector<std::uint64_t> unarchived_;
     // When a server of each version was last listed, by service and version.
     std::map<std::string, std::map<std::string, millis>> versions_;
-    bool past_known_ = true;
+    std::map<std::string, default_entry> defaults_; // by service
 };
 
 } // namespace cyclamen
--- a/Tests/Decisions/stream_origins_test.cpp
+++ b/Tests/Decisions/stream_origins_test.cpp
@@ -38,41 +38,136 @@
     EXPECT_FALSE(origins.find(1, "shop", 0ms));
 }
 
-// Guards against streams that are refused although any server can continue them, and against ones
-// that continue at the wrong version because the servers of the right one have just left.
-TEST(stream_origins, know_the_version_of_any_stream_only_while_there_was_no_other)
+// Guards against streams that continue at the wrong version: a stream without a record began at the
+// default version only if all others were recorded.
+TEST(stream_origins, begin_without_a_record_only_at_a_default_version_that_was_read_lately)
 {
     stream_origins origins;
-    EXPECT_FALSE(origins.only_version("shop", 0ms));
-    origins.note_version("shop", "v1", 0ms);
-    EXPECT_EQ(origins.only_version("shop", 10ms), "v1");
-    origins.set_past_known(false);
-    EXPECT_FALSE(origins.only_version("shop", 10ms)) << "other servers may just have left";
-    origins.set_past_known(true);
-    origins.note_version("shop", "v2", 20ms);
-    EXPECT_FALSE(origins.only_version("shop", 59000ms));
-    origins.note_version("shop", "v2", 60000ms);
-    EXPECT_EQ(origins.only_version("shop", 60000ms), "v2");
+    EXPECT_TRUE(origins.record(origin(1, "v1"), 0ms)) << "no default version is known";
+    origins.set_default("shop", "v1", 0ms);
+    EXPECT_FALSE(origins.record(origin(2, "v1"), 10ms));
+    EXPECT_TRUE(origins.record(origin(3, "v2"), 10ms));
+    EXPECT_TRUE(origins.record({.stream = 4, .service = "office", .version = "v1"}, 10ms));
+    EXPECT_FALSE(origins.record(origin(5, "v1"), 29999ms));
+    EXPECT_TRUE(origins.record(origin(6, "v1"), 30000ms)) << "it may have been replaced by now";
+    origins.set_default("shop", "v1", 30000ms);
+    EXPECT_FALSE(origins.record(origin(7, "v1"), 30000ms));
+    origins.defaults_lost();
+    EXPECT_TRUE(origins.record(origin(8, "v1"), 30000ms)) << "the store does not have it any more";
 }
 
-// Calls to the store are limited: while all servers have one version, nothing needs to be told.
-TEST(stream_origins, are_told_once_there_are_several_versions)
+// Guards against a record that outlives the version: a later attempt may begin the stream
+// elsewhere.
+TEST(stream_origins, are_recorded_again_when_another_attempt_begins_them)
 {
     stream_origins origins;
-    origins.note_version("shop", "v1", 0ms);
+    origins.set_default("shop", "v1", 0ms);
+    EXPECT_TRUE(origins.record(origin(1, "v2"), 10ms));
+    EXPECT_TRUE(origins.record(origin(1, "v2"), 10ms)) << "the others were not told yet";
+    origins.mark_told(1);
+    EXPECT_FALSE(origins.record(origin(1, "v2"), 10ms));
+    EXPECT_EQ(origins.take_unshared().size(), 1U);
+    EXPECT_TRUE(origins.record(origin(1, "v1"), 10ms)) << "the others have it at v2";
+    ASSERT_EQ(origins.take_unshared().size(), 1U);
+    EXPECT_FALSE(origins.record(origin(2, "v1"), 10ms));
+    EXPECT_TRUE(origins.record(origin(2, "v2"), 10ms));
+}
+
+// Calls to the store are limited: nothing needs to be told while all servers have one version.
+TEST(stream_origins, are_told_and_archived_unless_they_need_no_record)
+{
+    stream_origins origins;
+    origins.set_default("shop", "v1", 0ms);
     origins.record(origin(1, "v1"), 0ms);
-    origins.merge(origin(2, "v1"), 0ms);
-    EXPECT_TRUE(origins.take_unshared(10ms).empty());
-    EXPECT_TRUE(origins.take_unarchived(10ms).empty());
-    origins.note_version("shop", "v2", 20ms);
-    ASSERT_EQ(origins.take_unshared(20ms).size(), 1U) << "streams that began before, too";
-    const auto archived = origins.take_unarchived(20ms);
+    EXPECT_TRUE(origins.take_unshared().empty());
+    EXPECT_TRUE(origins.take_unarchived().empty());
+    origins.record(origin(2, "v2"), 20ms);
+    origins.merge(origin(3, "v2"), 20ms);
+    EXPECT_EQ(origins.take_unshared().size(), 1U);
+    const auto archived = origins.take_unarchived();
     EXPECT_EQ(archived.size(), 2U) << "those of the peers, too";
-    origins.merge(origin(2, "v1"), 30ms);
-    EXPECT_TRUE(origins.take_unshared(30ms).empty());
-    EXPECT_TRUE(origins.take_unarchived(30ms).empty());
+    origins.merge(origin(3, "v2"), 30ms);
+    origins.merge_archived(origin(4, "v2"), 30ms);
+    EXPECT_TRUE(origins.take_unshared().empty());
+    EXPECT_TRUE(origins.take_unarchived().empty());
     origins.archive_failed(archived);
-    EXPECT_EQ(origins.take_unarchived(40ms).size(), 2U);
+    EXPECT_EQ(origins.take_unarchived().size(), 2U);
     origins.archive_lost();
-    EXPECT_EQ(origins.take_unarchived(50ms).size(), 2U);
+    EXPECT_EQ(origins.take_unarchived().size(), 3U) << "not the one that needs no record";
+}
+
+// Guards against streams of the old version that are taken for the new one's: the default version
+// must not change while a caller can still take such a stream up.
+TEST(stream_origins, propose_a_new_default_version_once_the_old_one_is_gone_for_the_retention)
+{
+    stream_origins origins;
+    EXPECT_TRUE(origins.defaults_due(0ms).empty());
+    origins.note_version("shop", "v1", 0ms);
+    EXPECT_EQ(origins.defaults_due(0ms).at("shop"), "v1") << "there was none";
+    origins.set_default("shop", "v1", 0ms);
+    EXPECT_TRUE(origins.defaults_due(10ms).empty());
+    origins.note_version("shop", "v2", 100ms);
+    origins.note_version("shop", "v1", 1000ms); // its last server leaves
+    for (millis now = 1000ms; now < 61000ms; now += 1000ms) {
+        origins.note_version("shop", "v2", now);
+        origins.set_default("shop", "v1", now); // the archive is read again and again
+        origins.sweep(now);
+        EXPECT_TRUE(origins.defaults_due(now).empty()) << now.count();
+    }
+    origins.note_version("shop", "v2", 61000ms);
+    origins.sweep(61000ms);
+    EXPECT_EQ(origins.defaults_due(61000ms).at("shop"), "v2");
+    origins.note_version("shop", "v3", 61000ms);
+    EXPECT_TRUE(origins.defaults_due(61000ms).empty()) << "two versions serve, neither by default";
+}
+
+TEST(stream_origins, propose_no_default_version_while_several_serve)
+{
+    stream_origins origins;
+    origins.note_version("shop", "v1", 0ms);
+    origins.note_version("shop", "v2", 0ms);
+    EXPECT_TRUE(origins.defaults_due(0ms).empty());
+}
+
+// A process that has just started cannot know when the servers of the default version left.
+TEST(stream_origins, keep_the_default_version_for_the_retention_after_it_was_first_read)
+{
+    stream_origins origins;
+    origins.set_default("shop", "v1", 5000ms);
+    origins.note_version("shop", "v2", 64000ms);
+    EXPECT_TRUE(origins.defaults_due(64000ms).empty());
+    origins.note_version("shop", "v2", 65000ms);
+    EXPECT_EQ(origins.defaults_due(65000ms).at("shop"), "v2");
+}
+
+// Guards against a version that comes back while another entry replaces it as default.
+TEST(stream_origins, rely_on_a_version_that_comes_back_only_after_another_reading)
+{
+    stream_origins origins;
+    origins.note_version("shop", "v1", 0ms);
+    origins.set_default("shop", "v1", 20000ms);
+    origins.note_version("shop", "v1", 31000ms);
+    EXPECT_TRUE(origins.record(origin(1, "v1"), 31000ms));
+    origins.set_default("shop", "v1", 31010ms);
+    EXPECT_FALSE(origins.record(origin(2, "v1"), 31010ms));
+}
+
+TEST(stream_origins, take_no_default_version_that_is_older_than_a_known_one)
+{
+    stream_origins origins;
+    origins.set_default("shop", "v2", 100ms);
+    origins.set_default("shop", "v1", 90ms);
+    EXPECT_EQ(origins.default_version("shop", 110ms), "v2");
+}
+
+// Default versions that a restore of the store has lost are written again.
+TEST(stream_origins, propose_default_versions_again_that_the_store_has_lost)
+{
+    stream_origins origins;
+    origins.note_version("shop", "v1", 0ms);
+    origins.note_version("shop", "v2", 0ms);
+    origins.set_default("shop", "v1", 0ms);
+    origins.defaults_lost();
+    EXPECT_EQ(origins.defaults_due(10ms).at("shop"), "v1");
+    EXPECT_FALSE(origins.default_version("shop", 10ms));
 }
--- a/Tests/Relay/origin_exchange_test.cpp
+++ b/Tests/Relay/origin_exchange_test.cpp
@@ -15,17 +15,23 @@
 // A store that answers at once, or not at all.
 struct scripted_archive {
     std::map<std::uint64_t, wire::stream_origins> slots;
+    wire::stream_origins defaults;
     bool up = true;
     unsigned writes = 0;
     unsigned reads = 0;
+    unsigned default_calls = 0;
+
+    std::string default_version() const
+    {
+        return defaults.defaults_size() == 0 ? "" : defaults.defaults(0).version();
+    }
 };
 
 struct exchanging_entry {
-    explicit exchanging_entry(scripted_archive& archive)
-        : origins(core.add(
-              std::make_unique<origin_exchange>(core, origin_exchange_options{}, hooks(archive))))
+    explicit exchanging_entry(scripted_archive& archive, const std::string& given_name = "entry")
+        : name(given_name), origins(core.add(std::make_unique<origin_exchange>(
+                                core, origin_exchange_options{.settle_time = 0ms}, hooks(archive))))
     {
-        origins.start();
         state.start();
     }
 
@@ -36,12 +42,26 @@
                         std::size_t receivers = 0;
                         for (exchanging_entry* peer : peers) {
                             ++receivers;
-                            if (const auto reply = peer->origins.handle(message)) {
+                            if (const auto reply = peer->origins.handle(name, message)) {
                                 replies.push_back(*reply);
                             }
                         }
                         return receivers;
                     },
+                .broadcast =
+                    [this](const wire::stream_origins& message) {
+                        for (exchanging_entry* peer : peers) {
+                            peer->replies.push_back(message);
+                        }
+                    },
+                .send_to =
+                    [this](const std::string& receiver, const wire::stream_origins& message) {
+                        for (exchanging_entry* peer : peers) {
+                            if (peer->name == receiver) {
+                                peer->replies.push_back(message);
+                            }
+                        }
+                    },
                 .is_archiver = [this] { return archives; },
                 .archive =
                     [&archive](std::uint64_t slot, const wire::stream_origins& batch,
@@ -61,6 +81,20 @@
                         }
                         on_end(archive.up ? std::optional(batches) : std::nullopt);
                     },
+                .archive_defaults =
+                    [&archive](const wire::stream_origins& defaults,
+                               const std::function<void(bool)>& on_end) {
+                        ++archive.default_calls;
+                        if (archive.up) {
+                            archive.defaults = defaults;
+                        }
+                        on_end(archive.up);
+                    },
+                .read_defaults =
+                    [&archive](const auto& on_end) {
+                        ++archive.default_calls;
+                        on_end(archive.up ? std::optional(archive.defaults) : std::nullopt);
+                    },
                 .read_servers =
                     [this](const auto& on_end) {
                         if (in_step && on_read_servers) {
@@ -70,6 +104,16 @@
                     }};
     }
 
+    // Lists the first server, and runs until its version is the default.
+    void settle_at(const std::string& version)
+    {
+        list("s1", version);
+        start();
+        EXPECT_TRUE(run_until([&] { return state.default_version("shop") == version; }));
+    }
+
+    void start() { origins.start(); }
+
     void list(const std::string& id, const std::string& version, std::uint64_t started_at = 1)
     {
         state.update_backend({.id = id,
@@ -79,10 +123,11 @@
                               .software_version = version});
     }
 
+    // Begins a stream; its number is in `told` once its caller may get events.
     void begin_stream(std::uint64_t stream, const std::string& version)
     {
-        state.origins().record({.stream = stream, .service = "shop", .version = version},
-                               core.now());
+        state.begin_stream({.stream = stream, .service = "shop", .version = version},
+                           [this, stream] { told.insert(stream); });
     }
 
     // The version at which the stream can continue; "unknown" if none was found, "-" while the
@@ -104,7 +149,7 @@
         while (!holds() && core.now() < until) {
             event_base_loop(core.loop(), EVLOOP_ONCE);
             for (const wire::stream_origins& reply : std::exchange(replies, {})) {
-                origins.handle(reply);
+                origins.handle("peer", reply);
             }
         }
         return holds();
@@ -117,10 +162,12 @@
         return result;
     }
 
+    std::string name;
     kernel core{{.program = "test", .instance = "entry"}};
     std::vector<exchanging_entry*> peers;
     std::vector<wire::stream_origins> replies;
     std::list<std::string> results;
+    std::set<std::uint64_t> told;
     bool archives = true;
     bool in_step = true;                   // the store answers reads of the list of servers
     std::function<void()> on_read_servers; // brings what the list holds
@@ -137,18 +184,154 @@
     scripted_archive archive;
     {
         exchanging_entry first(archive);
-        first.list("s1", "v1");
+        first.settle_at("v1");
         first.begin_stream(1, "v1");
         first.list("s2", "v2");
         first.begin_stream(2, "v2");
-        EXPECT_TRUE(first.run_until([&] { return !archive.slots.empty(); }));
+        EXPECT_TRUE(first.run_until([&] { return first.told.contains(2); }));
     }
     exchanging_entry next(archive);
     next.list("s2", "v2"); // the server of the other version has left
+    next.start();
     EXPECT_EQ(next.found(1), "v1");
     EXPECT_EQ(next.found(2), "v2");
-    EXPECT_EQ(next.found(3), "unknown") << "began at either version";
-    EXPECT_EQ(archive.reads, 1U);
+    EXPECT_EQ(next.found(3), "v1") << "without a record";
+    EXPECT_EQ(archive.reads, 2U) << "for each stream that it does not know while versions differ";
+}
+
+// release, all entries down: guards against streams that go on at another version because the
+// entries that began them did so while one version served, and were all killed before it left.
+TEST(origin_exchange,
+     does_not_take_old_streams_for_those_of_a_version_that_came_while_all_were_down)
+{
+    scripted_archive archive;
+    {
+        exchanging_entry first(archive);
+        first.settle_at("v1");
+        first.begin_stream(1, "v1");
+        EXPECT_TRUE(first.told.contains(1)) << "at once";
+        EXPECT_EQ(archive.writes, 0U);
+    }
+    exchanging_entry next(archive);
+    next.list("s2", "v2");
+    next.start();
+    EXPECT_EQ(next.found(1), "v1");
+    next.begin_stream(2, "v2");
+    EXPECT_TRUE(next.run_until([&] { return next.told.contains(2); }));
+    EXPECT_EQ(next.found(2), "v2");
+}
+
+// The same while the default version has not been archived yet.
+TEST(origin_exchange, archives_streams_that_begin_before_there_is_a_default_version)
+{
+    scripted_archive archive;
+    {
+        exchanging_entry first(archive);
+        first.archives = false;
+        first.list("s1", "v1");
+        first.start();
+        first.begin_stream(1, "v1");
+        EXPECT_FALSE(first.told.contains(1));
+        first.archives = true;
+        EXPECT_TRUE(first.run_until([&] { return first.told.contains(1); }));
+        EXPECT_FALSE(archive.slots.empty());
+    }
+    exchanging_entry next(archive);
+    next.list("s2", "v2");
+    next.start();
+    EXPECT_EQ(next.found(1), "v1");
+}
+
+// all entries restart: guards against refusals of streams whose servers all live on.
+TEST(origin_exchange, continues_streams_after_a_restart_of_all_entries)
+{
+    scripted_archive archive;
+    {
+        exchanging_entry first(archive);
+        first.settle_at("v1");
+        first.begin_stream(1, "v1");
+    }
+    for (int restart = 0; restart < 3; ++restart) {
+        exchanging_entry next(archive);
+        next.list("s1", "v1");
+        next.start();
+        EXPECT_EQ(next.found(1), "v1") << "after restart " << restart;
+    }
+}
+
+// release beside a killed entry: guards against refusals of streams that began while one version
+// served, because the only entry that knew them was killed and another version has joined.
+TEST(origin_exchange, continues_streams_of_a_killed_entry_when_a_version_joins_after_the_kill)
+{
+    scripted_archive archive;
+    exchanging_entry other(archive);
+    {
+        exchanging_entry killed(archive, "killed");
+        killed.archives = false;
+        killed.peers = {&other};
+        other.peers = {&killed};
+        killed.list("s1", "v1");
+        killed.start();
+        other.settle_at("v1");
+        EXPECT_TRUE(killed.run_until([&] { return killed.state.default_version("shop") == "v1"; }));
+        killed.begin_stream(1, "v1");
+        EXPECT_TRUE(killed.told.contains(1));
+        other.peers.clear();
+    }
+    other.list("s2", "v2");
+    EXPECT_EQ(other.found(1), "v1");
+    EXPECT_EQ(archive.writes, 0U);
+}
+
+// release beside killed entries: guards against events of another version in streams of the version
+// that has just joined, whose entries are killed before they have told anyone.
+TEST(origin_exchange, holds_events_back_until_the_archive_can_tell_where_the_stream_began)
+{
+    scripted_archive archive;
+    exchanging_entry archiver(archive, "archiver");
+    archiver.settle_at("v1");
+    archiver.list("s2", "v2");
+    {
+        exchanging_entry killed(archive, "killed");
+        killed.archives = false;
+        killed.list("s1", "v1");
+        killed.list("s2", "v2");
+        killed.start();
+        killed.peers = {&archiver};
+        archiver.peers = {&killed};
+        killed.begin_stream(1, "v2");
+        EXPECT_TRUE(
+            killed.run_until([&] { return archiver.state.known_origin(1, "shop") == "v2"; }));
+        EXPECT_FALSE(killed.told.contains(1)) << "the archive does not have it";
+        EXPECT_TRUE(archiver.run_until([&] { return !archive.slots.empty(); }));
+        EXPECT_TRUE(killed.run_until([&] { return killed.told.contains(1); }));
+        archiver.peers.clear();
+    }
+    exchanging_entry next(archive);
+    next.list("s1", "v1");
+    next.list("s2", "v2");
+    next.start();
+    EXPECT_EQ(next.found(1), "v2");
+}
+
+// Callers must not wait for a store that is away: then the peers alone are told.
+TEST(origin_exchange, holds_events_back_for_a_short_time_only)
+{
+    scripted_archive archive;
+    exchanging_entry peer(archive);
+    peer.archives = false;
+    peer.start();
+    exchanging_entry entry(archive);
+    entry.settle_at("v1");
+    entry.peers = {&peer};
+    entry.list("s2", "v2");
+    archive.up = false;
+    const millis begun_at = entry.core.now();
+    entry.begin_stream(1, "v2");
+    EXPECT_TRUE(entry.run_until([&] { return entry.told.contains(1); }));
+    EXPECT_GE(entry.core.now() - begun_at, 150ms);
+    EXPECT_LT(entry.core.now() - begun_at, 400ms);
+    EXPECT_EQ(peer.state.known_origin(1, "shop"), "v2");
 }
 
 // Calls to the store cost: a fleet whose servers have one version makes hardly any.
@@ -156,13 +339,16 @@
 {
     scripted_archive archive;
     exchanging_entry entry(archive);
-    entry.list("s1", "v1");
+    entry.settle_at("v1");
+    EXPECT_LE(archive.default_calls, 2U);
+    const unsigned default_calls = archive.default_calls;
     for (std::uint64_t stream = 1; stream <= 100; ++stream) {
         entry.begin_stream(stream, "v1");
     }
     const millis end = entry.core.now() + 300ms;
     entry.run_until([&] { return entry.core.now() > end; });
     EXPECT_EQ(archive.writes + archive.reads, 0U);
+    EXPECT_EQ(archive.default_calls, default_calls);
     EXPECT_EQ(entry.found(7777), "v1") << "no other version has served";
     EXPECT_EQ(archive.reads, 1U);
     EXPECT_EQ(entry.found(8888), "v1");
@@ -173,20 +359,34 @@
 {
     scripted_archive archive;
     exchanging_entry first(archive);
+    first.settle_at("v0");
     first.archives = false;
-    first.list("s1", "v1");
+    first.list("s1", "v1", 2);
     first.list("s2", "v2");
     first.begin_stream(1, "v1");
     exchanging_entry started(archive);
-    started.list("s1", "v1");
+    started.list("s1", "v1", 2);
     started.list("s2", "v2");
     started.peers = {&first};
+    started.start();
     EXPECT_EQ(started.found(1), "v1");
     EXPECT_EQ(archive.reads, 0U);
-    EXPECT_EQ(started.found(2), "unknown");
+    EXPECT_EQ(started.found(2), "v0");
     EXPECT_EQ(archive.reads, 1U) << "the peer did not know, either";
 }
 
+// Guards against a guess where nothing tells at which version streams without a record began.
+TEST(origin_exchange, knows_no_version_while_the_archive_holds_no_default)
+{
+    scripted_archive archive;
+    exchanging_entry entry(archive);
+    entry.list("s1", "v1");
+    entry.list("s2", "v2");
+    entry.start();
+    EXPECT_EQ(entry.found(1), "unknown") << "began at either version";
+    EXPECT_TRUE(archive.default_version().empty());
+}
+
 // A peer that was killed or cut off does not answer.
 TEST(origin_exchange, does_not_wait_long_for_a_silent_peer_or_store)
 {
@@ -195,6 +395,9 @@
     exchanging_entry entry(archive);
     entry.list("s1", "v1");
     entry.list("s2", "v2");
+    for (exchanging_entry* each : {&silent, &entry}) {
+        each->start();
+    }
     const std::string& result = entry.look_for(1);
     EXPECT_EQ(result, "unknown");
     entry.peers = {&silent};
@@ -213,6 +416,7 @@
     exchanging_entry entry(archive);
     entry.list("s1", "v1");
     entry.list("s2", "v2");
+    entry.start();
     entry.begin_stream(1, "v1");
     EXPECT_TRUE(entry.run_until([&] { return archive.writes > 1; }));
     archive.up = true;
@@ -222,17 +426,30 @@
     EXPECT_TRUE(entry.run_until([&] { return !archive.slots.empty(); }));
 }
 
+// Guards against refusals after a restore of the store from a copy without the default version.
+TEST(origin_exchange, archives_the_default_version_again_that_a_restore_has_lost)
+{
+    scripted_archive archive;
+    exchanging_entry entry(archive);
+    entry.settle_at("v1");
+    entry.list("s2", "v2");
+    archive.defaults.Clear();
+    entry.origins.store_restored();
+    EXPECT_TRUE(entry.run_until([&] { return archive.default_version() == "v1"; }));
+    EXPECT_EQ(entry.found(1), "v1");
+}
+
 // An id that starts again with other software: its streams of before have no server left.
 TEST(origin_exchange, counts_the_version_that_an_id_had_before_it_started_again)
 {
     scripted_archive archive;
     exchanging_entry entry(archive);
-    entry.list("s1", "v1");
+    entry.settle_at("v1");
     EXPECT_EQ(entry.found(1), "v1");
     entry.begin_stream(2, "v1");
     entry.list("s1", "v2", 2);
     EXPECT_EQ(entry.found(2), "v1");
-    EXPECT_EQ(entry.found(3), "unknown");
+    EXPECT_EQ(entry.found(3), "v1") << "it has no record, as those of v2 have";
 }
 
 // Guards against streams that only the entry knows that began them: it may be killed next.
@@ -246,6 +463,7 @@
     for (exchanging_entry* each : {&peer, &entry}) {
         each->list("s1", "v1");
         each->list("s2", "v2");
+        each->start();
     }
     entry.begin_stream(1, "v1");
     EXPECT_TRUE(entry.run_until(
@@ -261,8 +479,8 @@
     scripted_archive archive;
     exchanging_entry first(archive);
     exchanging_entry behind(archive);
-    first.list("s1", "v1");
-    behind.list("s1", "v1");
+    first.settle_at("v1");
+    behind.settle_at("v1");
     EXPECT_EQ(behind.found(7), "v1") << "in step, with servers of one version";
     first.list("s2", "v2");
     first.begin_stream(1, "v2");
@@ -271,18 +489,25 @@
     exchanging_entry other(archive);
     other.list("s1", "v1");
     other.list("s2", "v2");
+    other.start();
     behind.in_step = true;
     other.peers = {&behind};
-    EXPECT_EQ(other.found(1), "unknown") << "the peer does not know";
+    EXPECT_TRUE(first.run_until([&] { return first.told.contains(1); }));
+    EXPECT_EQ(other.found(1), "v2") << "the peer does not know, the archive does";
 }
 
 // The same for an entry that comes back into step, and learns of the version by that.
 TEST(origin_exchange, knows_after_it_has_read_the_list_to_its_end)
 {
     scripted_archive archive;
+    exchanging_entry first(archive);
     exchanging_entry entry(archive);
-    entry.list("s1", "v1");
+    first.settle_at("v1");
+    entry.settle_at("v1");
     EXPECT_EQ(entry.found(7), "v1");
+    first.list("s2", "v2");
+    first.begin_stream(1, "v2");
+    EXPECT_TRUE(first.run_until([&] { return first.told.contains(1); }));
     entry.on_read_servers = [&] { entry.list("s2", "v2"); };
-    EXPECT_EQ(entry.found(1), "unknown") << "began at either version";
+    EXPECT_EQ(entry.found(1), "v2");
 }
--- a/Tests/Relay/peer_gossip_test.cpp
+++ b/Tests/Relay/peer_gossip_test.cpp
@@ -297,11 +297,18 @@
     start(0);
     start(1);
     unsigned answers = 0;
-    entries[0]->gossip.on_origins = [&](const wire::stream_origins& message) {
+    unsigned archived = 0;
+    entries[0]->gossip.on_origins = [&](const std::string& /*peer*/,
+                                        const wire::stream_origins& message) {
         answers += static_cast<unsigned>(message.unknown_size());
+        archived += static_cast<unsigned>(message.archived_size());
         return std::optional<wire::stream_origins>();
     };
-    entries[1]->gossip.on_origins = [](const wire::stream_origins& message) {
+    entries[1]->gossip.on_origins = [&](const std::string& peer,
+                                        const wire::stream_origins& message) {
+        wire::stream_origins later;
+        later.add_archived(message.wanted(0).stream());
+        entries[1]->gossip.send_origins_to(peer, later);
         wire::stream_origins reply;
         reply.add_unknown(message.wanted(0).stream());
         return std::optional(reply);
@@ -311,6 +318,7 @@
     EXPECT_EQ(entries[0]->gossip.send_origins(question), 0U) << "no peer was heard yet";
     ASSERT_TRUE(run_until([&] { return entries[0]->gossip.send_origins(question) == 1; }));
     EXPECT_TRUE(run_until([&] { return answers > 0; }));
+    EXPECT_TRUE(run_until([&] { return archived > 0; })) << "to the peer that was named";
 }
 
 // callers, capped: guards against load that stays uneven because, in a fleet of many entries, each
--- a/Tests/Relay/platform_feed_test.cpp
+++ b/Tests/Relay/platform_feed_test.cpp
@@ -89,7 +89,8 @@
     store.respond(4, response_of("", body));
     ASSERT_TRUE(wait_for(core, store, [&] { return ends.size() == 2; }));
     EXPECT_TRUE(ends[1]);
-    EXPECT_EQ(state.only_version("shop"), "v2");
+    EXPECT_TRUE(state.others_served("shop", "v1"));
+    EXPECT_FALSE(state.others_served("shop", "v2"));
     read(); // the store is silent
     ASSERT_TRUE(wait_for(core, store, [&] { return ends.size() == 3; }));
     EXPECT_FALSE(ends[2]);
