Reset callers whose answer has no length when the entry ends first

Cause: the system closes the sockets of a process that ends in order, and an orderly end is the end of such an answer. Only abort_response reset the connection. The same held for a second SIGTERM, for the time limit of a slow caller with unsent bytes, and behind agents for streams to callers that use HTTP/1.0.

The socket is now set to end with a reset from the head of the answer until all of it has been passed to the socket, so whatever ends the process shows.

Evidence: with the program of entry_end.* failed for SIGKILL and for a second SIGTERM, for HTTP/1.0 and 1.1, and held for the end of the grace period and of the server; relay_slow_caller.* and two tests of http_1_0_callers.* failed, too.

--- a/Source/caller_connection.cpp
+++ b/Source/caller_connection.cpp
@@ -1,6 +1,7 @@
 #include "caller_connection.h"
 
 #include "event_log.h"
+#include "reset_on_close.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -191,6 +192,9 @@
     head.chunked = chunked_;
     if (close_delimited_) {
         keep_alive_ = false;
+        // Until all of the response has been passed to the socket, no end of this process may look
+        // like the end of the response.
+        set_reset_on_close(bufferevent_getfd(channel_), true);
     }
     close_announced_ = !keep_alive_;
     if (close_announced_) {
@@ -284,11 +288,6 @@
         return;
     }
     if (close_delimited_) { // an orderly close would make the response look complete
-        const struct linger reset {
-            .l_onoff = 1, .l_linger = 0
-        };
-        static_cast<void>(
-            setsockopt(bufferevent_getfd(channel_), SOL_SOCKET, SO_LINGER, &reset, sizeof reset));
         close();
         return;
     }
@@ -369,6 +368,7 @@
 
 void caller_connection::end_output()
 {
+    set_reset_on_close(bufferevent_getfd(channel_), false);
     shutdown(bufferevent_getfd(channel_), SHUT_WR);
     start_timer(linger_time);
 }
--- a/Source/http_server.cpp
+++ b/Source/http_server.cpp
@@ -1,9 +1,12 @@
 #include "http_server.h"
 
+#include "reset_on_close.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <fmt/format.h>
 #include <poll.h>
@@ -27,6 +30,12 @@
     {EVHTTP_REQ_PUT, "PUT"}, {EVHTTP_REQ_DELETE, "DELETE"}, {EVHTTP_REQ_PATCH, "PATCH"},
 };
 
+int socket_of(evhttp_request* request)
+{
+    evhttp_connection* connection = evhttp_request_get_connection(request);
+    return bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+}
+
 std::string name_of_method(evhttp_cmd_type type)
 {
     for (const method_name& row : method_names) {
@@ -42,12 +51,15 @@
 // Tracks one request until its response is sent or its connection closes.
 struct http_exchange::exchange_tracker {
     http_server* server = nullptr;
+    evhttp_request* request = nullptr;
     std::weak_ptr<http_exchange> exchange;
 
     static void on_complete(evhttp_request* request, void* user)
     {
         const std::unique_ptr<exchange_tracker> self(static_cast<exchange_tracker*>(user));
         --self->server->open_;
+        self->server->delimited_.erase(request);
+        set_reset_on_close(socket_of(request), false);
         evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
     }
 
@@ -55,6 +67,7 @@
     {
         const std::unique_ptr<exchange_tracker> self(static_cast<exchange_tracker*>(user));
         --self->server->open_;
+        self->server->delimited_.erase(self->request);
         const auto locked = self->exchange.lock();
         if (locked && locked->request_ != nullptr) {
             locked->on_caller_disconnected();
@@ -131,6 +144,11 @@
         return;
     }
     add_headers(content_type, headers);
+    // A caller that uses HTTP/1.0 gets no chunks: its response ends with the connection.
+    if (request_->minor == 0) {
+        server_->delimited_.insert(request_);
+        set_reset_on_close(socket_of(request_), true);
+    }
     evhttp_send_reply_start(request_, status, nullptr);
 }
 
@@ -188,8 +206,11 @@
 {
     const std::shared_ptr<http_exchange> hold = self_;
     evhttp_connection* connection = evhttp_request_get_connection(request_);
+    if (server_->delimited_.erase(request_) > 0) {
+        reset_connection(socket_of(request_));
+    }
     detach();
-    evhttp_connection_free(connection);
+    evhttp_connection_free(connection); // ends it in order
 }
 
 void http_exchange::on_caller_disconnected()
@@ -230,6 +251,9 @@
 
 http_server::~http_server()
 {
+    for (evhttp_request* request : delimited_) {
+        reset_connection(socket_of(request));
+    }
     evhttp_free(http_);
 }
 
@@ -276,6 +300,7 @@
     ++server->open_;
     auto tracker = std::make_unique<http_exchange::exchange_tracker>();
     tracker->server = server;
+    tracker->request = request;
     tracker->exchange = exchange;
     http_exchange::exchange_tracker* raw =
         tracker.release(); // freed by whichever of its two callbacks runs
--- a/Source/http_server.h
+++ b/Source/http_server.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -78,8 +79,8 @@
     std::string path_;
     std::string query_;
     std::string body_;
-    const http_server* server_ = nullptr; // outlives `request_`
-    bool chunk_pending_ = false;          // a written chunk has not been passed to the socket
+    http_server* server_ = nullptr; // outlives `request_`
+    bool chunk_pending_ = false;    // a written chunk has not been passed to the socket
     bool aborting_ = false;
     std::shared_ptr<http_exchange> self_; // keeps the object alive while the connection may call it
 };
@@ -128,6 +129,7 @@
     std::chrono::steady_clock::time_point last_transfer_ = std::chrono::steady_clock::now();
     handler on_request_;
     std::size_t open_ = 0;
+    std::set<evhttp_request*> delimited_; // whose begun responses end with their connections
     bool stopping_ = false;
 };
 
--- a/Tests/Relay/relay_test.cpp
+++ b/Tests/Relay/relay_test.cpp
@@ -169,6 +169,33 @@
     EXPECT_TRUE(caller.was_reset());
 }
 
+// Guards against a part of a response that looks whole to a slow caller: the entry closed the
+// connection in order while it still held bytes.
+TEST(relay_slow_caller, sees_a_reset_when_its_time_for_a_response_without_a_length_is_over)
+{
+    constexpr std::size_t body_bytes = 16777216; // more than the sockets hold
+    relay_server_options options;
+    options.exchange.max_unsent = 2 * body_bytes;
+    relay_harness fleet(options);
+    scripted_backend& shop = fleet.add_backend("s1");
+    relay_configuration tight = relay_harness::configuration();
+    tight.limits.idle_timeout = 300ms;
+    fleet.configure(tight);
+    scripted_caller& caller = fleet.add_caller();
+    caller.stop_reading();
+    caller.send(get("/view/"));
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.requests() == 1; }));
+    shop.respond(0, "HTTP/1.1 200 OK\r\nAttempt-Id: q1\r\n\r\n");
+    shop.repeat_response(0, std::string(65536, 'x'), body_bytes);
+    ASSERT_TRUE(fleet.wait_for([&] { return shop.bytes_repeated(0) == body_bytes; }));
+    shop.close(0);
+    fleet.run_for(1000ms);
+    caller.resume_reading();
+    ASSERT_TRUE(fleet.wait_for([&] { return caller.ended(); }));
+    EXPECT_LT(caller.received().size(), body_bytes);
+    EXPECT_TRUE(caller.was_reset());
+}
+
 TEST_F(relay, closes_a_connection_that_said_more_than_one_answer)
 {
     scripted_caller& caller = send_request(get("/view/"));
