Bound what all connections of an entry hold together

What callers saw elsewhere: a server that writes bytes without end took the memory of the machine that had called it, and the requests of others ended with the process.

Cause: limits for each connection say nothing about all, a body was held three times, and a head of very short fields takes 16 times its text.

Above a small amount each, requests are refused with 503 and a Retry-After, answers are paused and events are cut when the sum is reached. The body of a request is shared between its holders. Answers of the store, its listings and the messages of peers have lower bounds.

--- a/Source/backend_connection_pool.cpp
+++ b/Source/backend_connection_pool.cpp
@@ -32,7 +32,9 @@
 std::unique_ptr<client_connection> backend_connection_pool::open(const net_address& address)
 {
     ++core_.metrics().named("backend_connections_opened");
-    return std::make_unique<client_connection>(core_.loop(), address, options_.connection);
+    client_connection_options options = options_.connection;
+    options.memory = &core_.memory();
+    return std::make_unique<client_connection>(core_.loop(), address, options);
 }
 
 void backend_connection_pool::release(std::uint64_t incarnation,
--- a/Source/caller_connection.cpp
+++ b/Source/caller_connection.cpp
@@ -27,6 +27,12 @@
 constexpr millis linger_time = 1000ms;
 // Closes the connection if sent data stays unacknowledged for this long (TCP_USER_TIMEOUT).
 constexpr int tcp_user_timeout_ms = 5000;
+// Heads and bodies of requests up to these sizes are read in any case.
+constexpr std::size_t least_head_bytes = 4096;
+constexpr std::size_t least_body_bytes = 8192;
+// Mean Retry-After of requests for which there is no memory.
+constexpr millis memory_retry_after = 500ms;
+constexpr int unavailable = 503;
 constexpr int bad_request = 400;
 constexpr int request_timeout = 408;
 constexpr int content_too_large = 413;
@@ -49,7 +55,8 @@
     : core_(core), hooks_(std::move(callbacks)),
       reader_(http_message_type::request,
               {.on_head = [this](http_head& head) { on_head_received(head); },
-               .on_body = [this](std::string_view data) { body_.append(data); }})
+               .on_body = [this](std::string_view data) { body_.append(data); }}),
+      memory_(core.memory())
 {
     const int on = 1;
     static_cast<void>(setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on));
@@ -84,6 +91,7 @@
         return;
     }
     self->output_pending_ = false;
+    self->count_memory();
     if (self->state_ == stage::lingering) {
         self->end_output();
         return;
@@ -126,6 +134,13 @@
             fail(reader_.parse_error());
             return;
         }
+        count_memory();
+        if (!fits_memory()) {
+            refuse_unread({.status = unavailable,
+                           .reason = "out_of_memory",
+                           .retry_after = core_.jittered(memory_retry_after)});
+            return;
+        }
         if (reader_.complete()) {
             timer_ = {};
             state_ = stage::awaiting_response;
@@ -159,6 +174,7 @@
         started_at_ = core_.now();
     }
     keep_alive_ = keep_alive_ && head.keep_alive;
+    body_.reserve(std::min<std::uint64_t>(head.length.value_or(0), hooks_.limits().body_bytes));
     const bool body_follows = head.chunked || (head.length && *head.length > 0);
     if (body_follows && header_names_equal(head.header_or("Expect", ""), "100-continue")) {
         constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -166,10 +182,19 @@
     }
 }
 
+void caller_connection::count_memory()
+{
+    memory_.set(reader_.head_size() + body_.size() + unsent_bytes());
+}
+
+bool caller_connection::fits_memory() const
+{
+    return core_.memory().used() <= core_.memory().limit() ||
+           (reader_.head_size() <= least_head_bytes && body_.size() <= least_body_bytes);
+}
+
 void caller_connection::fail(http_parse_error parse_error)
 {
-    keep_alive_ = false;
-    state_ = stage::awaiting_response;
     relay_refusal refusal{.status = bad_request, .reason = "malformed_request"};
     if (parse_error == http_parse_error::head_too_large) {
         refusal = {.status = head_fields_too_large, .reason = "head_too_large"};
@@ -177,6 +202,16 @@
     else if (parse_error == http_parse_error::body_too_large) {
         refusal = {.status = content_too_large, .reason = "body_too_large"};
     }
+    refuse_unread(std::move(refusal));
+}
+
+// Refuses a request that has not been read completely.
+void caller_connection::refuse_unread(relay_refusal refusal)
+{
+    keep_alive_ = false;
+    state_ = stage::awaiting_response;
+    body_ = std::string(); // `{}` would keep its memory
+    count_memory();
     hooks_.on_refused(*this, refusal);
     refuse(refusal);
 }
@@ -210,6 +245,7 @@
 {
     output_pending_ = true;
     bufferevent_write(channel_, text.data(), text.size());
+    count_memory();
 }
 
 void caller_connection::write(std::string_view data)
@@ -249,7 +285,7 @@
 {
     state_ = stage::reading;
     request_ = {};
-    body_.clear();
+    body_ = std::string(); // `{}` would keep its memory
     head_received_ = false;
     started_at_ = 0ms;
     reader_.next();
@@ -346,11 +382,7 @@
         }
     }
     if (state_ == stage::reading && reader_.message_started()) {
-        keep_alive_ = false;
-        state_ = stage::awaiting_response;
-        const relay_refusal refusal{.status = request_timeout, .reason = "request_too_slow"};
-        hooks_.on_refused(*this, refusal);
-        refuse(refusal);
+        refuse_unread({.status = request_timeout, .reason = "request_too_slow"});
         return;
     }
     close();
@@ -389,6 +421,7 @@
         bufferevent_free(channel_);
         channel_ = nullptr;
     }
+    memory_.set(0);
     hooks_.on_closed(*this);
 }
 
--- a/Source/caller_connection.h
+++ b/Source/caller_connection.h
@@ -3,6 +3,7 @@
 #include "http_message.h"
 #include "http_reader.h"
 #include "kernel.h"
+#include "memory_budget.h"
 #include "time_types.h"
 
 #include <cstddef>
@@ -10,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 struct bufferevent;
 
@@ -53,7 +55,12 @@
     /// Returns the request that was read completely.
     const http_head& request() const { return request_; }
     /// Moves the body of the request out of the connection.
-    std::string take_body() { return std::move(body_); }
+    std::string take_body()
+    {
+        std::string taken = std::exchange(body_, {});
+        count_memory();
+        return taken;
+    }
     /// Returns the time at which the first byte of the request was read.
     millis started_at() const { return started_at_; }
 
@@ -100,9 +107,12 @@
     static void event(bufferevent* channel, short what, void* user);
 
     void read();
+    void count_memory();
+    bool fits_memory() const;
     void discard_input();
     void on_head_received(const http_head& head);
     void fail(http_parse_error parse_error);
+    void refuse_unread(relay_refusal refusal);
     void next_request();
     void start_timer(millis delay);
     millis idle_timeout() const;
@@ -121,6 +131,7 @@
     stage state_ = stage::reading;
     http_head request_;
     std::string body_;
+    memory_budget::share memory_;
     millis started_at_{0};
     bool head_received_ = false;
     bool keep_alive_ = true;
--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -26,6 +26,11 @@
 // send interim responses, responses to other requests, or a body without end.
 constexpr std::size_t max_skipped_bytes = 1048576;
 constexpr unsigned max_skipped_responses = 8; // not counting interim responses
+// Heads of responses up to this size are read in any case.
+constexpr std::size_t least_head_bytes = 4096;
+constexpr std::size_t max_head_bytes = 65536;
+// Bytes that are read at once when the end of a response may be in the socket.
+constexpr int read_size = 65536;
 // Longest time from the head of a discarded response to its end. Waiting longer costs more than the
 // new connection that it could save.
 constexpr millis max_discard_time = 100ms;
@@ -60,12 +65,15 @@
     bufferevent* channel = nullptr;
     http_reader reader;
     handlers receivers;
-    std::string unsent_request; // serialized request, until the connection is established
+    std::string unsent_head; // of the request, until the connection is established
+    std::shared_ptr<const std::string> unsent_body;
+    std::optional<memory_budget::share> memory;
     bool connected = false;
     bool refused = false;
     bool closed = false;
     bool call_open = false;         // a call is in progress
     bool response_started = false;  // response bytes have arrived for the current call
+    bool head_received = false;     // so has the head of its own response
     bool skipping_response = false; // discards an interim response or one that `on_head` rejected
     bool discarding = false;        // drops the body of the current call's response
     bool cut = false;               // the call is to end without the rest of its response
@@ -86,8 +94,11 @@
           reader(http_message_type::response,
                  {.on_head = [this](http_head& head) { on_head_received(head); },
                   .on_body = [this](std::string_view data) { on_body_received(data); }},
-                 {.body_bytes = given.max_body_bytes})
+                 {.head_bytes = max_head_bytes, .body_bytes = given.max_body_bytes})
     {
+        if (given.memory != nullptr) {
+            memory.emplace(*given.memory);
+        }
     }
     state(const state&) = delete;
     state& operator=(const state&) = delete;
@@ -155,10 +166,32 @@
 
     void send()
     {
-        if (channel != nullptr && connected && !unsent_request.empty()) {
-            bufferevent_write(channel, unsent_request.data(), unsent_request.size());
-            unsent_request.clear();
+        if (channel == nullptr || !connected || unsent_head.empty()) {
+            return;
+        }
+        bufferevent_write(channel, unsent_head.data(), unsent_head.size());
+        unsent_head.clear();
+        const std::shared_ptr<const std::string> body = std::exchange(unsent_body, nullptr);
+        if (body != nullptr && !body->empty()) {
+            using holder = std::shared_ptr<const std::string>;
+            evbuffer_add_reference(
+                bufferevent_get_output(channel), body->data(), body->size(),
+                [](const void* /*data*/, std::size_t /*length*/, void* user) {
+                    const std::unique_ptr<holder> released(static_cast<holder*>(user));
+                },
+                new holder(body));
+        }
+    }
+
+    // Returns whether the head of the response may take up more memory.
+    bool head_fits()
+    {
+        if (!memory) {
+            return true;
         }
+        memory->set(reader.head_size());
+        return reader.head_size() <=
+               options.memory->allowance(least_head_bytes, max_head_bytes * 2);
     }
 
     void on_head_received(const http_head& head)
@@ -177,6 +210,7 @@
             keep_alive = false;
         }
         skipping_response = receivers.on_head && !receivers.on_head(head);
+        head_received = !skipping_response;
         skipped_responses += skipping_response ? 1 : 0;
     }
 
@@ -217,7 +251,8 @@
             if (was_skipping || skipping_response || discarding) {
                 skipped_bytes += used;
             }
-            if (reader.parse_error() != http_parse_error::none || skipped_too_much() || cut) {
+            if (reader.parse_error() != http_parse_error::none || skipped_too_much() || cut ||
+                (!head_received && !head_fits())) {
                 finish(http_call_result::lost);
                 return;
             }
@@ -260,13 +295,19 @@
         while (in_progress(call) && waiting > 0) {
             evbuffer* input = bufferevent_get_input(channel);
             evbuffer_unfreeze(input, 0); // a bufferevent lets only itself add input
-            const int count = evbuffer_read(input, bufferevent_getfd(channel), waiting);
+            const int count =
+                evbuffer_read(input, bufferevent_getfd(channel), std::min(waiting, read_size));
             evbuffer_freeze(input, 0);
             if (count <= 0) {
                 break;
             }
             waiting -= count;
             read();
+            // The consumer may be slow: what it has not sent must not use the memory up.
+            if (in_progress(call) && paused && options.memory != nullptr &&
+                options.memory->used() >= options.memory->limit()) {
+                break;
+            }
         }
         ignore_pause = false;
     }
@@ -416,6 +457,12 @@
 }
 
 void client_connection::call(const http_head& head, const std::string& body, handlers receivers)
+{
+    call(head, std::make_shared<const std::string>(body), std::move(receivers));
+}
+
+void client_connection::call(const http_head& head, std::shared_ptr<const std::string> body,
+                             handlers receivers)
 {
     state& self = *state_;
     self.on_idle_closed = on_idle_closed;
@@ -423,6 +470,7 @@
     self.call_open = true;
     ++self.calls;
     self.response_started = false;
+    self.head_received = false;
     self.skipping_response = false;
     self.cut = false;
     self.skipped_bytes = 0;
@@ -442,7 +490,8 @@
             new std::shared_ptr<state>(state_), nullptr);
         return;
     }
-    self.unsent_request = request_text(head) + body;
+    self.unsent_head = request_text(head);
+    self.unsent_body = std::move(body);
     self.send();
 }
 
--- a/Source/client_connection.h
+++ b/Source/client_connection.h
@@ -2,6 +2,7 @@
 
 #include "enum_names.h"
 #include "http_message.h"
+#include "memory_budget.h"
 #include "net_address.h"
 #include "time_types.h"
 
@@ -40,6 +41,9 @@
     // A call whose response has a longer body ends as `lost`. To be set by whoever collects bodies;
     // a body that is forwarded may be of any size.
     std::size_t max_body_bytes = std::numeric_limits<std::size_t>::max();
+    // Counts what the connection holds, if set.  A call whose response head does not fit into it
+    // any more ends as `lost`.
+    memory_budget* memory = nullptr;
 };
 
 /// Client side of an HTTP/1.1 connection: makes one call at a time and can be reused as long as
@@ -64,6 +68,8 @@
 
     /// Sends a request. The connection must be idle, and `head` must declare the length of `body`.
     void call(const http_head& head, const std::string& body, handlers receivers);
+    /// The same; shares the body with other holders and does not copy it.
+    void call(const http_head& head, std::shared_ptr<const std::string> body, handlers receivers);
     /// Cancels the call without calling its handlers, and closes the connection.
     void abandon();
     /// Drops the body of the current response; to be called by `on_head`. The call ends as `lost`
--- a/Source/http_reader.cpp
+++ b/Source/http_reader.cpp
@@ -102,6 +102,9 @@
     {
         state& self = of(parser);
         if (self.head.headers.empty() || self.value_seen) {
+            if (self.head.headers.size() >= self.limits.headers) {
+                return self.fail(http_parse_error::head_too_large);
+            }
             self.head.headers.emplace_back();
             self.value_seen = false;
         }
@@ -260,6 +263,11 @@
     return state_->message_started;
 }
 
+std::size_t http_reader::head_size() const
+{
+    return state_->head_bytes + state_->head.headers.size() * sizeof(http_header);
+}
+
 http_parse_error http_reader::parse_error() const
 {
     return state_->parse_error;
--- a/Source/http_reader.h
+++ b/Source/http_reader.h
@@ -22,6 +22,7 @@
 
 struct http_reader_limits {
     std::size_t head_bytes = 65536;    // request target, header names and values
+    std::size_t headers = 512;         // a header takes far more memory than its shortest text
     std::size_t body_bytes = 67108864; // size after decoding the transfer coding
 };
 
@@ -52,6 +53,8 @@
     bool complete() const;
     /// True if part of the message has been parsed.
     bool message_started() const;
+    /// Bytes of memory that the head of the current message takes up.
+    std::size_t head_size() const;
     /// Returns the error that stopped parsing. `next()` does not clear it.
     http_parse_error parse_error() const;
 
--- a/Source/kernel.cpp
+++ b/Source/kernel.cpp
@@ -98,7 +98,7 @@
       random_(options_.random_seed != 0
                   ? options_.random_seed
                   : (std::uint64_t{std::random_device{}()} << 32U) ^ std::random_device{}()),
-      incarnation_(random_() | 1U)
+      incarnation_(random_() | 1U), memory_(options_.connection_bytes)
 {
     static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
     for (const int number : {SIGTERM, SIGINT}) {
--- a/Source/kernel.h
+++ b/Source/kernel.h
@@ -2,11 +2,13 @@
 
 #include "counters.h"
 #include "latency_histograms.h"
+#include "memory_budget.h"
 #include "service.h"
 #include "time_types.h"
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -23,6 +25,8 @@
     std::string program;           // program name, for logs and the state dump
     std::string instance;          // instance name of this process
     std::uint64_t random_seed = 0; // 0: seeded from the system
+    std::size_t connection_bytes =
+        67108864; // that all connections hold together, see memory_budget
 };
 
 /// Core of a process: the event loop, the registry of services, timers, random numbers,
@@ -82,6 +86,8 @@
     /// Uniformly distributed between 0.5 and 1.5 times `interval`.
     millis jittered(millis interval);
 
+    /// The bytes that all connections hold together.
+    memory_budget& memory() { return memory_; }
     counters& metrics() { return metrics_; }
     latency_histogram& latency(const std::string& name) { return latencies_.named(name); }
     /// Counters and histograms in the Prometheus text format.
@@ -104,6 +110,7 @@
     event_base* loop_;
     std::mt19937_64 random_;
     std::uint64_t incarnation_;
+    memory_budget memory_;
     counters metrics_;
     latency_histograms latencies_;
     timer log_flush_;
--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -15,6 +15,9 @@
 // Messages queued per peer.  A digest that cannot be sent at once is obsolete when the next is
 // due, so a longer queue has no use.
 constexpr int max_queued_digests = 16;
+// Bounds what peers can make this entry hold; the longest message is a list of all servers.
+constexpr int max_unhandled_messages = 256;
+constexpr std::int64_t max_message_bytes = 8388608;
 // Time after which a connection with unacknowledged data is closed.
 constexpr int retransmit_timeout_ms = 2000;
 // Prefix locations per digest.  A location that is left out costs at most one repeated
@@ -59,6 +62,12 @@
     return {.high_water_mark = max_queued_digests, .retransmit_timeout_ms = retransmit_timeout_ms};
 }
 
+// Peers are few, and this entry handles their messages as they come.
+message_socket_options listen_options()
+{
+    return {.high_water_mark = max_unhandled_messages, .max_message_bytes = max_message_bytes};
+}
+
 } // namespace
 
 peer_gossip::peer_gossip(kernel& core, peer_gossip_options options)
@@ -72,11 +81,12 @@
     behind_since_.resize(mirrors_.size());
     lost_requested_at_.resize(mirrors_.size(), core_.now() - lost_request_interval);
     lost_received_.resize(mirrors_.size());
-    listen_socket_ =
-        message_socket::bind(core_.loop(), core_.metrics(), options_.listen.endpoint(),
-                             [this](const std::string& route, const wire::envelope& message) {
-                                 on_message(route, message);
-                             });
+    listen_socket_ = message_socket::bind(
+        core_.loop(), core_.metrics(), options_.listen.endpoint(),
+        [this](const std::string& route, const wire::envelope& message) {
+            on_message(route, message);
+        },
+        listen_options());
     state_->peer_source_available = [this] {
         const millis now = core_.now();
         return std::any_of(peers_.begin(), peers_.end(), [&](const auto& row) {
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -28,6 +28,9 @@
 constexpr millis max_timer_delay = 5ms;
 // Parts of a prompt that are examined when servers crash; prompts have a few.
 constexpr std::size_t max_suspect_parts = 64;
+// What a caller's unsent bytes, and an event that is held back, may take up in any case.
+constexpr std::size_t least_unsent = 4096;
+constexpr std::size_t least_event = 16384;
 
 // Statuses by which a response tells its caller that the request has not run and never will.
 bool promises_not_run(int status)
@@ -45,8 +48,11 @@
 relay_exchange::relay_exchange(const relay_context& context, caller_connection& caller,
                                std::function<void(relay_exchange&)> on_end)
     : context_(context), caller_(&caller), on_end_(std::move(on_end)),
-      table_(context.state.routes()), body_(caller.take_body()), started_at_(caller.started_at())
+      table_(context.state.routes()),
+      body_(std::make_shared<const std::string>(caller.take_body())),
+      memory_(context.core.memory()), started_at_(caller.started_at())
 {
+    count_memory();
 }
 
 relay_exchange::~relay_exchange()
@@ -315,8 +321,8 @@
     http_head request = context_.codec.write_request(caller_->request(), metadata);
     request.chunked = false;
     request.length.reset();
-    if (!body_.empty() || caller_->request().length || caller_->request().chunked) {
-        request.length = body_.size();
+    if (!body_->empty() || caller_->request().length || caller_->request().chunked) {
+        request.length = body_->size();
     }
     const bool once = !attempts_->repeatable();
     connection_ = metadata_.id.empty() ? context_.connections.open(server.entry.address)
@@ -485,6 +491,11 @@
         response.length.reset(); // another server may send the rest of the stream
         response.chunked = true;
     }
+    if (!resumable_response_) { // no other attempt follows
+        suspects();
+        body_.reset();
+        count_memory();
+    }
     response_head_sent_ = true;
     caller_->begin_response(std::move(response));
 }
@@ -501,7 +512,9 @@
         connection_->cut_response();
         return {};
     }
-    if (events_.partial().size() <= context_.options.max_event) {
+    const std::size_t longest =
+        context_.core.memory().allowance(least_event, context_.options.max_event);
+    if (events_.partial().size() <= longest) {
         return complete;
     }
     if (route_->resumable) {
@@ -523,11 +536,19 @@
     if (origin_untold_ && mode_ == body_mode::events) {
         untold_since_ = untold_events_.empty() ? heard_at_ : untold_since_;
         untold_events_.append(data);
+        count_memory();
         connection_->pause_reading(true);
         return;
     }
     const std::string_view ready = mode_ == body_mode::events ? ready_events(data) : data;
     forward_body(ready);
+    count_memory();
+}
+
+void relay_exchange::count_memory()
+{
+    memory_.set((body_ == nullptr ? 0 : body_->size()) + untold_events_.size() + held_body_.size() +
+                events_.partial().size());
 }
 
 void relay_exchange::forward_body(std::string_view ready)
@@ -547,7 +568,9 @@
         context_.core.latency("first_byte_ms").observe(context_.core.now() - started_at_);
     }
     caller_->write(ready);
-    if (caller_->unsent_bytes() > context_.options.max_unsent && connection_ != nullptr) {
+    const std::size_t allowance =
+        context_.core.memory().allowance(least_unsent, context_.options.max_unsent);
+    if (caller_->unsent_bytes() > allowance && connection_ != nullptr) {
         connection_->pause_reading(true);
     }
 }
@@ -659,7 +682,7 @@
     suspects_.emplace();
     const std::uint64_t account = hash_of(account_ == nullptr ? "" : account_->name);
     const std::uint64_t target = combine_hashes(account, hash_of(caller_->request().target));
-    const std::uint64_t fingerprint = combine_hashes(target, hash_of(body_));
+    const std::uint64_t fingerprint = combine_hashes(target, hash_of(*body_));
     if (!metadata_.prompt.empty()) {
         suspects_->push_back({.hash = combine_hashes(fingerprint, metadata_.prompt.back().hash)});
     }
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -45,9 +45,11 @@
     // Silence of a backend server after which a call that is given up counts as lost: shorter ones
     // are due to impatient callers.
     millis long_silence = 1000ms;
-    // Bytes buffered for a slow caller above which reading from the backend server is paused.
+    // Bytes buffered for a slow caller above which reading from the backend server is paused.  Less
+    // while the connections together hold much.
     std::size_t max_unsent = 262144;
-    // Longest event of an event stream that is held back until it is complete.
+    // Longest event of an event stream that is held back until it is complete.  Less while the
+    // connections together hold much.
     std::size_t max_event = 1048576;
 };
 
@@ -103,6 +105,7 @@
     std::string_view ready_events(std::string_view data);
     void on_response_body(std::string_view data);
     void forward_body(std::string_view ready);
+    void count_memory();
     bool can_be_followed() const;
     bool is_broken_off(http_call_result outcome) const;
     void on_call_end(http_call_result end);
@@ -140,7 +143,8 @@
     const relay_route* route_ = nullptr;
     const client_account* account_ = nullptr;
     request_metadata metadata_;
-    std::string body_;
+    std::shared_ptr<const std::string> body_;
+    memory_budget::share memory_;
     std::optional<std::vector<suspect>> suspects_;
     std::unique_ptr<direct_attempts> attempts_;
     std::set<std::string> tried_backends_;
--- a/Tests/EntryProcess/entry_end_test.cpp
+++ b/Tests/EntryProcess/entry_end_test.cpp
@@ -3,13 +3,11 @@
 
 #include "entry_process.h"
 #include "kernel.h"
+#include "raw_socket.h"
 #include "stand_in_store.h"
 
-#include <arpa/inet.h>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <atomic>
 #include <cerrno>
@@ -25,56 +23,19 @@
 constexpr std::size_t caller_count = 6;
 constexpr std::string_view line = "id: 1\ndata: a line of the response\n\n";
 
-class socket_handle {
-public:
-    socket_handle() : handle_(socket(AF_INET, SOCK_STREAM, 0)) {}
-    explicit socket_handle(int handle) : handle_(handle) {}
-    socket_handle(const socket_handle&) = delete;
-    socket_handle& operator=(const socket_handle&) = delete;
-    ~socket_handle()
-    {
-        if (handle_ >= 0) {
-            close(handle_);
-        }
-    }
-    int get() const { return handle_; }
-    bool send(std::string_view text) const
-    {
-        return ::send(handle_, text.data(), text.size(), MSG_NOSIGNAL) ==
-               static_cast<ssize_t>(text.size());
-    }
-
-private:
-    int handle_;
-};
-
-sockaddr_in address_of(const net_address& address)
-{
-    sockaddr_in result{};
-    result.sin_family = AF_INET;
-    result.sin_port = htons(address.port);
-    inet_pton(AF_INET, address.host.c_str(), &result.sin_addr);
-    return result;
-}
-
 // Sends each caller the head of a response without a length or chunks, and then lines until the
 // entry has gone, or until `end_responses` is set.
 class unmarked_backend {
 public:
     explicit unmarked_backend(const net_address& listen)
     {
-        const int on = 1;
-        setsockopt(listener_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-        const sockaddr_in address = address_of(listen);
-        if (bind(listener_.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) !=
-                0 ||
-            ::listen(listener_.get(), caller_count) != 0) {
+        if (!listener_.listen(listen)) {
             ADD_FAILURE() << "cannot listen at " << listen.text();
             return;
         }
         threads_.emplace_back([this] {
             for (std::size_t count = 0; count < caller_count; ++count) {
-                const int accepted = accept(listener_.get(), nullptr, nullptr);
+                const int accepted = accept(listener_.handle(), nullptr, nullptr);
                 if (accepted < 0) {
                     return;
                 }
@@ -87,7 +48,7 @@
     ~unmarked_backend()
     {
         end_responses = true;
-        shutdown(listener_.get(), SHUT_RDWR);
+        shutdown(listener_.handle(), SHUT_RDWR);
         for (auto* group : {&threads_, &threads_for_calls_}) {
             for (std::thread& thread : *group) {
                 thread.join();
@@ -100,9 +61,9 @@
 private:
     void serve(int accepted)
     {
-        const socket_handle connection(accepted);
+        const raw_socket connection(accepted);
         std::string request(4096, '\0');
-        const ssize_t length = recv(connection.get(), request.data(), request.size(), 0);
+        const ssize_t length = recv(connection.handle(), request.data(), request.size(), 0);
         request.resize(length < 0 ? 0 : static_cast<std::size_t>(length));
         const std::size_t at = request.find("Attempt-Id: ");
         const std::string id = request.substr(at, request.find("\r\n", at) - at);
@@ -115,7 +76,7 @@
         }
     }
 
-    socket_handle listener_;
+    raw_socket listener_;
     std::vector<std::thread> threads_;
     std::vector<std::thread> threads_for_calls_;
 };
@@ -167,18 +128,15 @@
 
     void call(std::size_t number, caller_view& view) const
     {
-        const socket_handle connection;
-        const sockaddr_in address = address_of(entry->address(callers_port));
-        ASSERT_EQ(
-            connect(connection.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address),
-            0);
+        const raw_socket connection;
+        ASSERT_TRUE(connection.connect(entry->address(callers_port)));
         ASSERT_TRUE(connection.send(
             fmt::format("GET /stream/x HTTP/1.{}\r\nHost: shop.example\r\nAttempt-Id: a{}\r\n"
                         "Deadline-Ms: 15000\r\n\r\n",
                         std::get<1>(GetParam()), number)));
         std::array<char, 4096> buffer{};
         while (true) {
-            const ssize_t length = recv(connection.get(), buffer.data(), buffer.size(), 0);
+            const ssize_t length = recv(connection.handle(), buffer.data(), buffer.size(), 0);
             if (length <= 0) {
                 view.reset = length < 0 && errno == ECONNRESET;
                 view.ended_in_order = length == 0;
--- a/Tests/EntryProcess/entry_process.cpp
+++ b/Tests/EntryProcess/entry_process.cpp
@@ -33,7 +33,9 @@
 
 std::string entry_configuration(std::uint64_t version, unsigned more_routes)
 {
-    json routes{route("get", "safe"), route("post", "unsafe"), route("stream", "streaming")};
+    json routes{route("get", "safe"), route("post", "unsafe"), route("stream", "streaming"),
+                route("resume", "streaming")};
+    routes.back()["StreamResume"] = true;
     for (unsigned number = 0; number < more_routes; ++number) {
         routes.push_back(route(fmt::format("more-{}", number), "safe"));
     }
@@ -75,6 +77,7 @@
                         {"PortRange", {7000, 7010}},
                         {"Seeds", json::array()},
                         {"HeartbeatMs", 1000},
+                        {"Limits", {{"MemoryMb", options_.memory_mb}}},
                         {"Bounds",
                          {{"GraceS", options_.grace.count()},
                           {"RetryBudgetRatio", 0.2},
--- a/Tests/EntryProcess/entry_process.h
+++ b/Tests/EntryProcess/entry_process.h
@@ -15,8 +15,8 @@
 inline constexpr const char* backends_topic = "keyed.servers";
 inline constexpr std::uint16_t callers_port = 8000;
 
-/// A configuration with a route of each kind, `/get/`, `/post/` and `/stream/`, to the service
-/// `shop`, and `more_routes` others.
+/// A configuration with a route of each kind, `/get/`, `/post/`, `/stream/` and `/resume/`, a
+/// stream that may be resumed, to the service `shop`, and `more_routes` others.
 std::string entry_configuration(std::uint64_t version, unsigned more_routes);
 /// The record of a backend server of that service.
 std::string backend_record(const net_address& address, std::uint64_t sequence);
@@ -27,6 +27,7 @@
     net_address store;
     std::filesystem::path folder; // of its settings and its log
     std::chrono::seconds grace{8};
+    std::size_t memory_mb = 260;
 };
 
 /// The platform's entry as a process with an address and files of its own.
--- a/Tests/Relay/http_reader_test.cpp
+++ b/Tests/Relay/http_reader_test.cpp
@@ -76,3 +76,20 @@
     EXPECT_FALSE(end_after("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"));
     EXPECT_FALSE(end_after("HTTP/1.1 200 OK\r\nContent-"));
 }
+
+// Guards against a head that takes far more memory than its text, by very many short fields.
+TEST(http_reader, rejects_a_head_of_very_many_fields)
+{
+    const auto read = [](std::size_t fields) {
+        http_reader reader(http_message_type::response, {});
+        reader.feed("HTTP/1.1 200 OK\r\n");
+        for (std::size_t count = 0; count < fields; ++count) {
+            reader.feed("a:\r\n");
+        }
+        reader.feed("Content-Length: 0\r\n\r\n");
+        return std::pair(reader.parse_error(), reader.head_size());
+    };
+    EXPECT_EQ(read(500).first, http_parse_error::none);
+    EXPECT_EQ(read(100000).first, http_parse_error::head_too_large);
+    EXPECT_LT(read(100000).second, 100000U);
+}
--- a/Tests/Relay/odd_store_test.cpp
+++ b/Tests/Relay/odd_store_test.cpp
@@ -190,3 +190,30 @@
     EXPECT_TRUE(wait([&] { return feed.backends().find("good") != nullptr; }));
     EXPECT_EQ(feed.backends().position(), 9U);
 }
+
+// Guards against a listing whose values take far more memory than its text.
+TEST(odd_listing, is_not_read_if_it_has_very_many_values)
+{
+    kernel core({.program = "test", .instance = "test"});
+    scripted_backend server;
+    platform::metadata_store store(core, {.address = {.host = "127.0.0.1", .port = server.port()}});
+    std::optional<keyed_log_page> page;
+    store.list_newest("keyed.op", std::nullopt,
+                      [&](keyed_log_page given) { page = std::move(given); });
+    const auto wait = [&](const std::function<bool()>& holds) {
+        const millis end = core.now() + 10000ms;
+        while (core.now() < end && !holds()) {
+            event_base_loop(core.loop(), EVLOOP_NONBLOCK);
+            server.poll();
+        }
+        return holds();
+    };
+    ASSERT_TRUE(wait([&] { return server.requests() == 1; }));
+    std::string body = R"({"HasMore":false,"EndOffset":9,"Entries":[[])";
+    for (int count = 0; count < 200000; ++count) {
+        body += ",[]";
+    }
+    server.respond(0, response_of("", body + "]}"));
+    ASSERT_TRUE(wait([&] { return page.has_value(); }));
+    EXPECT_EQ(page->end, log_call_status::failed);
+}
--- a/Tests/Relay/relay_harness.cpp
+++ b/Tests/Relay/relay_harness.cpp
@@ -284,8 +284,14 @@
     return std::stoi(received_.substr(at + 9, 3));
 }
 
+// Tests of slow callers choose their own bounds, which are lower.
+constexpr std::size_t connection_bytes = 1073741824;
+
 relay_harness::relay_harness(relay_server_options options, relay_state_options state)
-    : port_(free_port()), core_({.program = "relay_harness", .instance = "test", .random_seed = 7})
+    : port_(free_port()), core_({.program = "relay_harness",
+                                 .instance = "test",
+                                 .random_seed = 7,
+                                 .connection_bytes = connection_bytes})
 {
     options.listen = {.host = "127.0.0.1", .port = port_};
     options.chooser.zone = std::string("a");
