Reject CONNECT, whose content http_parser takes for the next message

Cause: http_parser ends such a request after its head, whatever its Content-Length says. The entry is no tunnel, so the reader now rejects the method as malformed (400).

Evidence: relay.refuses_connect_and_runs_nothing_of_its_content and http_reader.rejects_connect_whose_content_is_the_text_of_a_request failed before and pass now.

--- a/Source/http_reader.cpp
+++ b/Source/http_reader.cpp
@@ -141,6 +141,10 @@
             return fail(http_parse_error::malformed);
         }
         if (message_type == http_message_type::request) {
+            // http_parser takes the content of such a request for the next message.
+            if (parser.method == HTTP_CONNECT) {
+                return fail(http_parse_error::malformed);
+            }
             head.method = http_method_str(static_cast<http_method>(parser.method));
         }
         else {
--- a/Tests/Relay/http_reader_test.cpp
+++ b/Tests/Relay/http_reader_test.cpp
@@ -93,3 +93,17 @@
     EXPECT_EQ(read(100000).first, http_parse_error::head_too_large);
     EXPECT_LT(read(100000).second, 100000U);
 }
+
+// Guards against content of a request that runs as a request of its own.
+TEST(http_reader, rejects_connect_whose_content_is_the_text_of_a_request)
+{
+    const std::string inner = "POST /pay/ HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+    std::size_t heads = 0;
+    http_reader reader(http_message_type::request, {.on_head = [&](http_head&) { ++heads; }});
+    const std::string text = "CONNECT /pay/ HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                             std::to_string(inner.size()) + "\r\n\r\n" + inner;
+    reader.feed(text);
+    EXPECT_EQ(reader.parse_error(), http_parse_error::malformed);
+    EXPECT_EQ(reader.feed(inner), 0U);
+    EXPECT_EQ(heads, 0U);
+}
--- a/Tests/Relay/relay_test.cpp
+++ b/Tests/Relay/relay_test.cpp
@@ -169,6 +169,19 @@
     EXPECT_TRUE(caller.was_reset());
 }
 
+// Guards against a request that is smuggled in the content of another one.
+TEST_F(relay, refuses_connect_and_runs_nothing_of_its_content)
+{
+    const std::string inner = post("/pay/", "smuggled");
+    scripted_caller& caller = send_and_await_response(
+        "CONNECT /pay/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
+        "Content-Length: " +
+        std::to_string(inner.size()) + "\r\n\r\n" + inner);
+    EXPECT_EQ(caller.status(), 400);
+    fleet.run_for(200ms);
+    EXPECT_EQ(shop.requests(), 0U);
+}
+
 // Guards against a part of a response that looks whole to a slow caller: the entry closed the
 // connection in order while it still held bytes.
 TEST(relay_slow_caller, sees_a_reset_when_its_time_for_a_response_without_a_length_is_over)
