Count an attempt from when its request is sent

Cause: an attempt was open for the crash detector before its connection was established. A refused connection shows that the server has ended, and all open attempts there count as lost with it, also those that were only connecting; three servers that refused made a shared prompt part a suspect that no success could clear.

Connections now tell when a request is handed to them, and the attempt begins then.

--- a/Source/caller_connection.cpp
+++ b/Source/caller_connection.cpp
@@ -202,11 +202,11 @@
     else if (parse_error == http_parse_error::body_too_large) {
         refusal = {.status = content_too_large, .reason = "body_too_large"};
     }
-    refuse_unread(std::move(refusal));
+    refuse_unread(refusal);
 }
 
 // Refuses a request that has not been read completely.
-void caller_connection::refuse_unread(relay_refusal refusal)
+void caller_connection::refuse_unread(const relay_refusal& refusal)
 {
     keep_alive_ = false;
     state_ = stage::awaiting_response;
--- a/Source/caller_connection.h
+++ b/Source/caller_connection.h
@@ -112,7 +112,7 @@
     void discard_input();
     void on_head_received(const http_head& head);
     void fail(http_parse_error parse_error);
-    void refuse_unread(relay_refusal refusal);
+    void refuse_unread(const relay_refusal& refusal);
     void next_request();
     void start_timer(millis delay);
     millis idle_timeout() const;
--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -171,6 +171,9 @@
         }
         bufferevent_write(channel, unsent_head.data(), unsent_head.size());
         unsent_head.clear();
+        if (receivers.on_sent) {
+            receivers.on_sent();
+        }
         const std::shared_ptr<const std::string> body = std::exchange(unsent_body, nullptr);
         if (body != nullptr && !body->empty()) {
             using holder = std::shared_ptr<const std::string>;
--- a/Source/client_connection.h
+++ b/Source/client_connection.h
@@ -52,6 +52,9 @@
 class client_connection {
 public:
     struct handlers {
+        /// Called when the request is handed to the established connection, also during `call`:
+        /// from then on, the server may have received it.
+        std::function<void()> on_sent;
         /// Receives the headers of a final response (status 200 or above). Return false to skip a
         /// response that belongs to an earlier call and to wait for the next one. A call that
         /// skips too much ends as `lost`.
--- a/Source/memory_budget.h
+++ b/Source/memory_budget.h
@@ -13,6 +13,7 @@
     explicit memory_budget(std::size_t limit) : limit_(limit) {}
     memory_budget(const memory_budget&) = delete;
     memory_budget& operator=(const memory_budget&) = delete;
+    ~memory_budget() = default;
 
     std::size_t used() const { return used_; }
     std::size_t limit() const { return limit_; }
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -290,8 +290,6 @@
     heard_at_ = sent_at_;
     backend_id_ = server.entry.id;
     backend_incarnation_ = server.incarnation();
-    attempt_ = context_.state.begin_attempt(
-        {.suspects = suspects(), .server = backend_incarnation_, .service = hash_of(service_)});
     trial_ = choice.trial;
     software_version_ = server.entry.software_version;
     announce_origin();
@@ -343,7 +341,14 @@
               metadata.time_left.count(), table_->version(), context_.state.source_age().count(),
               (sent_at_ - server.listed_at).count());
     connection_->call(request, body_,
-                      {.on_head = [this](const http_head& head) { return on_response_head(head); },
+                      {.on_sent =
+                           [this] {
+                               attempt_ =
+                                   context_.state.begin_attempt({.suspects = suspects(),
+                                                                 .server = backend_incarnation_,
+                                                                 .service = hash_of(service_)});
+                           },
+                       .on_head = [this](const http_head& head) { return on_response_head(head); },
                        .on_body = [this](std::string_view data) { on_response_body(data); },
                        .on_end = [this](http_call_result end) { on_call_end(end); }});
 }
--- a/Tests/Relay/crash_signs_test.cpp
+++ b/Tests/Relay/crash_signs_test.cpp
@@ -436,6 +436,26 @@
     expect_refused(post("/pay/", "poison"));
 }
 
+// restart beside cold return: guards against a sound request, and all that shares a part with it,
+// that is quarantined because servers that are down refuse its connections.
+TEST_F(crash_signs, are_not_refused_connections)
+{
+    for (unsigned count = 0; count < threshold + 2; ++count) {
+        servers[add_server()]->stop_listening();
+    }
+    for (unsigned count = 0; count < threshold + 2; ++count) {
+        scripted_caller& caller = fleet.add_caller();
+        caller.send(post("/pay/", "sound"));
+        ASSERT_TRUE(fleet.wait_for([&] { return caller.status() != 0; }));
+        EXPECT_EQ(caller.status(), 503);
+        EXPECT_EQ(caller.received().find("quarantined"), std::string::npos) << caller.received();
+    }
+    EXPECT_EQ(fleet.state().crashes().size(), 0U);
+    scripted_caller& caller = fleet.add_caller();
+    add_server();
+    EXPECT_NE(send(caller, post("/pay/", "sound")), "");
+}
+
 // Guards against a quarantine of requests that are lost in an outage, because all servers fail.
 TEST_F(crash_signs, are_needed_while_the_service_serves_nobody)
 {
