--- a/Tests/Entries/http_1_0_callers_test.cpp
+++ b/Tests/Entries/http_1_0_callers_test.cpp
@@ -19,7 +19,7 @@
 
 class http_1_0_callers : public testing::Test {
 protected:
-    http_1_0_callers()
+    void SetUp() override
     {
         const int probe = ::socket(AF_INET, SOCK_STREAM, 0);
         address.sin_family = AF_INET;
@@ -34,7 +34,7 @@
         caller = ::socket(AF_INET, SOCK_STREAM, 0);
         EXPECT_EQ(connect(caller, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
     }
-    ~http_1_0_callers() override { close(caller); }
+    void TearDown() override { close(caller); }
 
     bool run_until(const std::function<bool()>& holds)
     {
