Continue no stream at a server that may have restarted unseen

A loss was doubted for 1.5 s, a refusal for 5 s, by the clock alone; after that the old entry was trusted again, although no source could have told of a restart. Within these 1.5 s the server was also the fallback when no other of the version was left.

Now only a source that confirmed the entries later than a restart takes dispels the doubt. While the source answers (500 ms), a server lost lately is still the last choice, as before, so that lost connections alone refuse no stream. Peers are told of a first loss at once, since the entry asked need not have seen the crash, and take a refusal that a peer saw for their own.

Ruled out: the idle connections' end as a sign, as servers close these in order, too.

The fixture of stream_versions confirms its source every 100 ms now, as a store that answers does: with one confirmation at its start, a stream was refused that goes on in the field.

--- a/Source/backend_chooser.cpp
+++ b/Source/backend_chooser.cpp
@@ -232,7 +232,9 @@
         if (choice.reason == no_server_of_version) {
             choice.reason = "all_tried";
         }
-        if (criteria.software_version && server->has_restarted(now)) {
+        const software_trust trust =
+            criteria.software_version ? table.trust(*server, now) : software_trust::listed;
+        if (trust == software_trust::restarted) {
             keep_out("restarted");
             continue;
         }
@@ -262,8 +264,8 @@
             continue;
         }
         const unsigned load = server->load(now);
-        const bool unsure = criteria.software_version && server->may_have_restarted(now);
-        if (load + 1 > bound || unsure || is_outlier(table, pool, *server, now)) {
+        if (load + 1 > bound || trust == software_trust::doubtful ||
+            is_outlier(table, pool, *server, now)) {
             if (fallback == nullptr || load < fallback->load(now)) {
                 fallback = server;
                 fallback_rank = rank;
--- a/Source/backend_table.cpp
+++ b/Source/backend_table.cpp
@@ -19,16 +19,32 @@
     return in_flight + others;
 }
 
-bool backend::has_restarted(millis now) const
+namespace {
+
+// Time in which a server whose connection was refused has started again and is listed.
+constexpr millis registration_time = 5000ms;
+// The same of one whose connection was lost; longer restarts refuse connections first.
+constexpr millis restart_time = 1500ms;
+
+} // namespace
+
+bool backend_table::record_loss(backend& server, millis at)
 {
-    constexpr millis registration_time = 5000ms; // servers that start register at once
-    return now - refused_at < registration_time;
+    const bool first = at - server.lost_at >= restart_time;
+    server.lost_at = std::max(server.lost_at, at);
+    return first;
 }
 
-bool backend::may_have_restarted(millis now) const
+software_trust backend_table::trust(const backend& server, millis now) const
 {
-    constexpr millis restart_time = 1500ms; // longer ones refuse connections first
-    return has_restarted(now) || now - lost_at < restart_time;
+    constexpr millis news_time = 500ms; // a source that answers does so more often
+    if (confirmed_at_ - server.refused_at < registration_time) {
+        return software_trust::restarted;
+    }
+    if (confirmed_at_ - server.lost_at >= restart_time) {
+        return software_trust::listed;
+    }
+    return now - confirmed_at_ < news_time ? software_trust::doubtful : software_trust::restarted;
 }
 
 backend_table::put_result backend_table::put(const backend_entry& entry, millis now)
--- a/Source/backend_table.h
+++ b/Source/backend_table.h
@@ -48,8 +48,9 @@
     unsigned peer_in_flight = 0;       // requests from peers, by their latest digests
     unsigned peer_reported_load = 0;   // load that the server reported to a peer
     millis peer_reported_at{-1000000}; // time of that report; initially long past
-    millis lost_at{-1000000};    // a connection was lost during a request; initially long past
-    millis refused_at{-1000000}; // a connection was refused; initially long past
+    // A connection was lost during a request, here or at a peer; initially long past.
+    millis lost_at{-1000000};
+    millis refused_at{-1000000}; // the same of a connection that was refused
     backend_load reported_load;
     unsigned in_flight_at_report = 0; // value of `in_flight` at `reported_at`
     millis reported_at{-1000000};     // time of the last load report; initially long past
@@ -63,10 +64,6 @@
     /// Whether the server has as many requests as it runs at once, as far as known.
     bool full(millis now) const { return entry.slots > 0 && load(now) >= entry.slots; }
     bool cold(millis now) const { return now < cold_until; }
-    /// Whether the server has started again, perhaps with other software, since it wrote its entry.
-    bool has_restarted(millis now) const;
-    /// Whether that is possible.
-    bool may_have_restarted(millis now) const;
     /// Hash that identifies this incarnation of the server on all entries.
     std::uint64_t incarnation() const { return incarnation_hash; }
 };
@@ -77,6 +74,13 @@
     millis cold_after_unreachable = 2500ms; // time for which an unreachable server counts as cold
 };
 
+/// Whether a backend server still runs the software that its entry names.
+enum class software_trust {
+    listed,    // nothing speaks against it
+    doubtful,  // it may have started again; the source answers and does not tell so yet
+    restarted, // it has started again, or may have while the source could not tell
+};
+
 /// The backend servers that published an entry, and which of them accept requests.  Reads no clock:
 /// the caller passes the current time.
 class backend_table {
@@ -114,10 +118,20 @@
     double mean_load(const std::string& service, millis now) const;
     /// Records a failed connection to the server.
     void record_connect_failure(backend& server, millis now);
-    /// Records that a connection to the server was lost during a request.
-    static void record_loss(backend& server, millis now) { server.lost_at = now; }
+    /// Records that a connection to the server was lost during a request.  Returns whether that
+    /// is the first for a while, of which peers should know.
+    static bool record_loss(backend& server, millis at);
     /// Records that a connection to the server was refused: its process had ended.
-    static void record_refusal(backend& server, millis now) { server.refused_at = now; }
+    static void record_refusal(backend& server, millis at)
+    {
+        server.refused_at = std::max(server.refused_at, at);
+    }
+    /// Records that the entries were those of the source at this time.
+    void source_confirmed(millis at) { confirmed_at_ = std::max(confirmed_at_, at); }
+    /// Whether the server has started again under its id, perhaps with other software.  A server
+    /// publishes its entry as soon as it starts, so only a source that has answered since then
+    /// can dispel the doubt.
+    software_trust trust(const backend& server, millis now) const;
     /// Records the outcome of a request at the server.
     void record_outcome(backend& server, backend_outcome outcome, millis now);
     /// Outcomes of requests at all servers of `service` together.
@@ -196,6 +210,7 @@
     std::set<std::string> disabled_zones_;
     server_words words_;
     bool source_down_ = false;
+    millis confirmed_at_{0};
     millis grace_until_{0}; // end of the grace period after the last source outage
 };
 
--- a/Source/event_log.cpp
+++ b/Source/event_log.cpp
@@ -172,6 +172,7 @@
         {event_id::backend_resting, severity::info, "backend_resting"},
         {event_id::origin_searched, severity::info, "origin_searched"},
         {event_id::default_version_set, severity::info, "default_version_set"},
+        {event_id::server_doubted, severity::info, "server_doubted"},
     }};
     return catalogue;
 }
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -82,6 +82,7 @@
     backend_resting = 1820,
     origin_searched = 1821,
     default_version_set = 1822,
+    server_doubted = 1823,
 };
 
 /// Number, severity and name of an event.
@@ -91,7 +92,7 @@
     std::string_view name;
 };
 
-inline constexpr std::size_t event_count = 61;
+inline constexpr std::size_t event_count = 62;
 
 /// Catalogue of all events, sorted by number.
 const std::array<event_description, event_count>& event_catalogue();
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -622,7 +622,7 @@
     else if (server != nullptr) {
         const bool bad = failure || status_ >= first_server_error;
         if (failure == attempt_outcome::lost && server->incarnation() == backend_incarnation_) {
-            backend_table::record_loss(*server, now);
+            context_.state.backend_lost(*server);
         }
         context_.state.backends().record_outcome(
             *server, bad ? backend_outcome::failure : backend_outcome::success, now);
--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -167,6 +167,46 @@
     }
 }
 
+void relay_state::backend_lost(backend& server)
+{
+    if (!backend_table::record_loss(server, core_.now())) {
+        return;
+    }
+    log_event(event_id::server_doubted, "backend={} incarnation={:016x} from=here source_age_ms={}",
+              server.entry.id, server.incarnation(), source_age().count());
+    wire::crash_evidence news;
+    news.add_doubted()->set_server(server.incarnation());
+    crash_evidence_found.emit(news);
+}
+
+// Takes over at which servers a peer has lost connections, or was refused.
+void relay_state::merge_doubts(const wire::crash_evidence& evidence)
+{
+    if (evidence.doubted_size() + evidence.down_size() == 0) {
+        return;
+    }
+    const millis now = core_.now();
+    const auto age_of = [](const auto& rows, std::uint64_t incarnation) -> std::optional<millis> {
+        for (const wire::crash_sighting& row : rows) {
+            if (row.server() == incarnation) {
+                return millis(row.age_ms());
+            }
+        }
+        return std::nullopt;
+    };
+    for (const auto& [id, server] : backends_.all()) {
+        if (const auto age = age_of(evidence.down(), server->incarnation())) {
+            backend_table::record_refusal(*server, now - *age);
+        }
+        const auto age = age_of(evidence.doubted(), server->incarnation());
+        if (age && backend_table::record_loss(*server, now - *age)) {
+            log_event(event_id::server_doubted,
+                      "backend={} incarnation={:016x} from=peer source_age_ms={}", id,
+                      server->incarnation(), source_age().count());
+        }
+    }
+}
+
 void relay_state::backend_misdirected(const std::string& id, std::uint64_t incarnation)
 {
     on_server_ended(id, incarnation, server_end_sign::misdirected);
@@ -218,6 +258,7 @@
                       down.age_ms());
         }
     }
+    merge_doubts(evidence);
     publish(crashes_.merge(evidence, core_.now()));
     check_quarantine();
 }
@@ -321,6 +362,7 @@
 void relay_state::confirmed_by_source()
 {
     confirmed_at_ = core_.now();
+    backends_.source_confirmed(confirmed_at_);
     mark_source_regained();
 }
 
@@ -336,6 +378,7 @@
 void relay_state::confirmed_by_peer(millis ago)
 {
     confirmed_at_ = std::max(confirmed_at_, core_.now() - ago);
+    backends_.source_confirmed(confirmed_at_);
     if (source_age() < options_.fresh_for) {
         mark_source_regained();
     }
--- a/Source/relay_state.h
+++ b/Source/relay_state.h
@@ -135,6 +135,9 @@
     /// Reports that a connection to the server could not be established; `refused` is true if
     /// its machine answered that no process listens there.
     void backend_unreachable(backend& server, bool refused);
+    /// Reports that a connection to this incarnation of the server was lost during a request: it
+    /// may have started again.
+    void backend_lost(backend& server);
     /// Reports that another server has answered at the address of this incarnation.
     void backend_misdirected(const std::string& id, std::uint64_t incarnation);
     /// Reports that a request is sent to a server; returns the number of the attempt.
@@ -189,6 +192,7 @@
     void check_quarantine();
     void on_server_ended(const std::string& id, std::uint64_t incarnation, server_end_sign sign);
     void end_predecessors(const backend_entry& entry);
+    void merge_doubts(const wire::crash_evidence& evidence);
     void mark_source_lost(const std::string& why);
     void mark_source_regained();
 
--- a/Tests/Decisions/backend_choice_test.cpp
+++ b/Tests/Decisions/backend_choice_test.cpp
@@ -505,3 +505,97 @@
     EXPECT_EQ(engines.chooser.choose(engines.table, engines.service, criteria, now).reason,
               "all_tried");
 }
+
+namespace {
+
+// A server of one software version, as one entry knows it.  The source of the entries answers, and
+// so confirms them, as often as the test says.
+struct doubted_pool {
+    doubted_pool() : engines(1)
+    {
+        backend_entry entry = server().entry;
+        entry.software_version = "v1";
+        ++entry.sequence;
+        engines.table.put(entry, now);
+        engines.table.source_confirmed(now);
+    }
+
+    backend& server() { return *engines.table.find(pool::name(0)); }
+
+    backend_choice continue_stream(millis at)
+    {
+        return engines.chooser.choose(
+            engines.table, engines.service,
+            {.service = "engine", .locations = &engines.locations, .software_version = "v1"}, at);
+    }
+
+    // Whether the server continues a stream at any time from `first` to `last`.
+    bool continues_between(millis first, millis last)
+    {
+        for (millis at = first; at <= last; at += 100ms) {
+            if (continue_stream(at).server != nullptr) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    pool engines;
+};
+
+} // namespace
+
+// srv_crash with store_down: guards against streams that go on at other software, because the
+// server started again under its id while the store was away and could not tell.
+TEST(backend_choice, a_server_lost_while_the_source_is_away_continues_no_stream)
+{
+    doubted_pool one;
+    EXPECT_TRUE(backend_table::record_loss(one.server(), now + 100ms));
+    EXPECT_FALSE(one.continues_between(now + 500ms, now + 60000ms));
+    EXPECT_EQ(one.continue_stream(now + 60000ms).reason, "restarted");
+    // The source is back: the entry is still the same once it had the time to be written again.
+    one.engines.table.source_confirmed(now + 61000ms);
+    EXPECT_NE(one.continue_stream(now + 61000ms).server, nullptr);
+}
+
+// The same if the store goes away between the loss and the restart.
+TEST(backend_choice, a_server_lost_just_before_the_source_is_away_continues_no_stream)
+{
+    doubted_pool one;
+    backend_table::record_loss(one.server(), now + 100ms);
+    one.engines.table.source_confirmed(now + 300ms);
+    EXPECT_FALSE(one.continues_between(now + 800ms, now + 60000ms));
+}
+
+// The same for a server that was seen to be down: it is not trusted again by the passage of time.
+TEST(backend_choice, a_server_refused_while_the_source_is_away_continues_no_stream)
+{
+    doubted_pool one;
+    backend_table::record_refusal(one.server(), now + 100ms);
+    EXPECT_FALSE(one.continues_between(now + 100ms, now + 60000ms));
+    one.engines.table.source_confirmed(now + 61000ms);
+    EXPECT_NE(one.continue_stream(now + 61000ms).server, nullptr);
+}
+
+// net_reset: guards against streams that are refused after each lost connection, although the
+// source answers and would tell of a restart.
+TEST(backend_choice, a_server_that_the_source_confirms_since_its_loss_continues_streams)
+{
+    doubted_pool one;
+    backend_table::record_loss(one.server(), now + 100ms);
+    for (millis at = now + 100ms; at <= now + 5000ms; at += 400ms) {
+        one.engines.table.source_confirmed(at);
+        EXPECT_NE(one.continue_stream(at + 399ms).server, nullptr) << at.count();
+    }
+}
+
+// A loss is told to peers once in the time of a restart, however many requests it cuts off.
+TEST(backend_choice, the_losses_of_one_crash_are_one_piece_of_news)
+{
+    doubted_pool one;
+    EXPECT_TRUE(backend_table::record_loss(one.server(), now));
+    for (millis at = now; at < now + 1400ms; at += 100ms) {
+        EXPECT_FALSE(backend_table::record_loss(one.server(), now + 10ms));
+    }
+    EXPECT_TRUE(backend_table::record_loss(one.server(), now + 2000ms));
+}
--- a/Tests/Relay/stream_versions_test.cpp
+++ b/Tests/Relay/stream_versions_test.cpp
@@ -13,6 +13,15 @@
 protected:
     stream_versions() { fleet.configure(relay_harness::configuration()); }
 
+    // The store goes away, long enough ago to be told from one that answers.
+    void lose_store()
+    {
+        store_answers.reset();
+        const millis until = fleet.core().now() + 600ms;
+        ASSERT_TRUE(fleet.wait_for([&] { return fleet.core().now() > until; }));
+        fleet.state().source_failed("down");
+    }
+
     void add_server(const std::string& id, const std::string& version)
     {
         servers.push_back(&fleet.add_backend(id));
@@ -86,6 +95,8 @@
     }
 
     relay_harness fleet;
+    std::optional<kernel::timer> store_answers =
+        fleet.core().every(100ms, [this] { fleet.state().confirmed_by_source(); });
     std::vector<scripted_backend*> servers;
     std::vector<std::string> versions;
     std::vector<std::size_t> seen; // requests that the test has handled, by server
@@ -203,3 +214,40 @@
     scripted_caller& again = send("q3", take_up_of("q1"));
     EXPECT_EQ(next_server(again), 0U);
 }
+
+// Guards against a stream of the old software at a server that started again, with other software,
+// while the store was away: the entry that is asked has not seen the crash, only its peer has.
+TEST_F(stream_versions, a_server_that_a_peer_has_lost_continues_no_stream_while_the_store_is_away)
+{
+    add_server("s1", "v1");
+    begin_and_break_off("q1");
+    lose_store();
+    wire::crash_evidence news;
+    news.add_doubted()->set_server(fleet.state().backends().find("s1")->incarnation());
+    fleet.state().merge_crash_evidence(news);
+    scripted_caller& refused = send("q2", take_up_of("q1"));
+    EXPECT_EQ(next_server(refused), servers.size());
+    EXPECT_EQ(refused.status(), 503);
+    // A stream that begins goes there: nothing ties it to a version yet.
+    EXPECT_EQ(next_server(send("q3")), 0U);
+}
+
+TEST_F(stream_versions, a_lost_server_is_told_to_peers_once)
+{
+    add_server("s1", "v1");
+    unsigned told = 0;
+    fleet.state().crash_evidence_found.connect([&](const wire::crash_evidence& news) {
+        told += static_cast<unsigned>(news.doubted_size());
+    });
+    for (const char* id : {"q1", "q2", "q3"}) {
+        scripted_caller& caller = send(id);
+        const std::size_t at = next_server(caller);
+        answer(at, id, "id: 1\ndata: a\n\n");
+        ASSERT_TRUE(
+            fleet.wait_for([&] { return caller.received().find("data: a") != std::string::npos; }));
+        break_off(at);
+        ASSERT_TRUE(
+            fleet.wait_for([&] { return fleet.state().backends().find("s1")->lost_at > 0ms; }));
+    }
+    EXPECT_EQ(told, 1U);
+}
