Reset the connection of a request that is given up

From the sending of a request until its whole answer, a connection to a server now ends with a reset, also if the entry is killed; then it ends in order again. The reset is not shown over a cut here, only what the server's socket sees.

--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "event_time.h"
 #include "http_reader.h"
+#include "reset_on_close.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -169,6 +170,8 @@
         if (channel == nullptr || !connected || unsent_head.empty()) {
             return;
         }
+        // A request that is given up must not be delivered later, after the end of a network cut.
+        set_reset_on_close(bufferevent_getfd(channel), true);
         bufferevent_write(channel, unsent_head.data(), unsent_head.size());
         unsent_head.clear();
         if (receivers.on_sent) {
@@ -335,6 +338,9 @@
         const bool unread_or_unsent =
             channel != nullptr && (evbuffer_get_length(bufferevent_get_input(channel)) > 0 ||
                                    evbuffer_get_length(bufferevent_get_output(channel)) > 0);
+        if (channel != nullptr && !unread_or_unsent) {
+            set_reset_on_close(bufferevent_getfd(channel), false);
+        }
         if (!keep_alive || close_after_call ||
             unread_or_unsent) { // also closes if the response came before the whole
                                 // request was sent
--- a/Tests/Relay/relay_harness.cpp
+++ b/Tests/Relay/relay_harness.cpp
@@ -122,6 +122,7 @@
         connection_state& row = connections_[index];
         if (row.socket >= 0 && !row.ended) {
             row.ended = read_into(row.socket, row.unread);
+            row.reset = row.ended && errno == ECONNRESET;
             parse_requests(index);
         }
     }
@@ -231,6 +232,12 @@
     return connections_.at(request_connections_.at(index)).ended;
 }
 
+bool scripted_backend::reset_by_relay(std::size_t index)
+{
+    poll();
+    return connections_.at(request_connections_.at(index)).reset;
+}
+
 scripted_caller::scripted_caller(std::uint16_t port) : socket_(::socket(AF_INET, SOCK_STREAM, 0))
 {
     const sockaddr_in address = loopback(port);
--- a/Tests/Relay/relay_harness.h
+++ b/Tests/Relay/relay_harness.h
@@ -44,6 +44,8 @@
     void reset(std::size_t index);
     /// Whether the relay has closed the connection on which request `index` arrived.
     bool closed_by_relay(std::size_t index);
+    /// Whether it did so with a reset, which discards what is not yet delivered.
+    bool reset_by_relay(std::size_t index);
     /// Closes the listening socket, so that further connections are refused.
     void stop_listening();
     /// Accepts connections but reads nothing until `resume_reading` is called.
@@ -64,6 +66,7 @@
         int socket = -1;
         std::string unread; // received bytes of an incomplete request
         bool ended = false;
+        bool reset = false;   // it ended with a reset
         std::string repeated; // written again and again while `bytes_left` is not 0
         std::size_t bytes_left = 0;
         std::size_t bytes_repeated = 0;
