Release removed servers at once if only this entry was cut off

Digests now tell for how long a source has confirmed the sender's state without a gap (1.5 s, shorter than entries take to expire). An entry that was away and hears of a peer whose source answered all the while ends its grace period (event 1824). It stays after an outage of the store, since then all peers' sources are as new, and after a restore. Ruled out: a shorter grace period for all, as live servers need about two seconds to be listed again.

Tests: three of relay_knowledge; they use the new call, so none was seen to fail on the former code.

--- a/Source/backend_table.cpp
+++ b/Source/backend_table.cpp
@@ -111,6 +111,13 @@
     }
 }
 
+bool backend_table::end_grace(millis now)
+{
+    const bool runs = now < grace_until_;
+    grace_until_ = std::min(grace_until_, now);
+    return runs;
+}
+
 std::vector<std::unique_ptr<backend>> backend_table::sweep(millis now)
 {
     std::vector<std::unique_ptr<backend>> removed;
--- a/Source/backend_table.h
+++ b/Source/backend_table.h
@@ -103,6 +103,8 @@
     void source_regained(millis now);
     /// Starts the grace period in which expired entries stay.
     void start_grace(millis now) { grace_until_ = now + options_.return_grace; }
+    /// Ends that period, if it runs.  Returns whether it did.
+    bool end_grace(millis now);
     /// Removes servers that are still missing after the grace period, and returns their last state.
     std::vector<std::unique_ptr<backend>> sweep(millis now);
 
--- a/Source/event_log.cpp
+++ b/Source/event_log.cpp
@@ -173,6 +173,7 @@
         {event_id::origin_searched, severity::info, "origin_searched"},
         {event_id::default_version_set, severity::info, "default_version_set"},
         {event_id::server_doubted, severity::info, "server_doubted"},
+        {event_id::expired_entries_released, severity::info, "expired_entries_released"},
     }};
     return catalogue;
 }
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -83,6 +83,7 @@
     origin_searched = 1821,
     default_version_set = 1822,
     server_doubted = 1823,
+    expired_entries_released = 1824,
 };
 
 /// Number, severity and name of an event.
@@ -92,7 +93,7 @@
     std::string_view name;
 };
 
-inline constexpr std::size_t event_count = 62;
+inline constexpr std::size_t event_count = 63;
 
 /// Catalogue of all events, sorted by number.
 const std::array<event_description, event_count>& event_catalogue();
--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -256,6 +256,8 @@
     body.set_source_answers(source_answers && source_answers());
     body.set_source_age_ms(static_cast<std::uint32_t>(
         std::clamp<std::int64_t>(state_->source_age().count(), 0, UINT32_MAX)));
+    body.set_source_steady_ms(static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(state_->source_steady_time().count(), 0, UINT32_MAX)));
     for (const auto& [id, server] : state_->backends().all()) {
         if (server->in_flight > 0) {
             wire::backend_count& row = *body.add_in_flight();
@@ -467,6 +469,9 @@
     if (up_to_date && digest.source_answers()) {
         state_->confirmed_by_peer(millis(digest.source_age_ms()));
     }
+    if (digest.source_answers()) {
+        state_->peer_source_steady(millis(digest.source_steady_ms()));
+    }
     const millis now = core_.now();
     for (std::size_t log = 0; log < mirrors_.size(); ++log) {
         const record_mirror& mirror = *mirrors_[log];
--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr millis sweep_interval = 200ms;
+// Longest time between two confirmations of a source that is not away: shorter than the time in
+// which the entries of servers that cannot write them expire.
+constexpr millis steady_gap = 1500ms;
 
 } // namespace
 
@@ -361,11 +364,44 @@
 
 void relay_state::confirmed_by_source()
 {
-    confirmed_at_ = core_.now();
-    backends_.source_confirmed(confirmed_at_);
+    set_confirmed(core_.now());
     mark_source_regained();
 }
 
+void relay_state::set_confirmed(millis at)
+{
+    if (at <= confirmed_at_) {
+        return;
+    }
+    const bool gap = at - confirmed_at_ > steady_gap;
+    if (gap || source_lost_) {
+        outage_began_ = confirmed_at_;
+    }
+    if (gap) {
+        steady_since_ = at;
+    }
+    confirmed_at_ = at;
+    backends_.source_confirmed(at);
+}
+
+void relay_state::source_restored()
+{
+    outage_began_.reset(); // what the copy lacks has not expired
+    backends_.start_grace(core_.now());
+}
+
+void relay_state::peer_source_steady(millis time)
+{
+    if (source_lost_ || !outage_began_ || core_.now() - time > *outage_began_) {
+        return;
+    }
+    if (backends_.end_grace(core_.now())) {
+        log_event(event_id::expired_entries_released, "outage_ms={} steady_at_peer_ms={}",
+                  (core_.now() - *outage_began_).count(), time.count());
+    }
+    outage_began_.reset();
+}
+
 void relay_state::mark_source_regained()
 {
     if (source_lost_) {
@@ -377,8 +413,7 @@
 
 void relay_state::confirmed_by_peer(millis ago)
 {
-    confirmed_at_ = std::max(confirmed_at_, core_.now() - ago);
-    backends_.source_confirmed(confirmed_at_);
+    set_confirmed(core_.now() - ago);
     if (source_age() < options_.fresh_for) {
         mark_source_regained();
     }
--- a/Source/relay_state.h
+++ b/Source/relay_state.h
@@ -55,7 +55,7 @@
 public:
     relay_state(kernel& core, relay_state_options options)
         : core_(core), options_(options), backends_(options.backends), crashes_(options.crashes),
-          confirmed_at_(core.now())
+          confirmed_at_(core.now()), steady_since_(confirmed_at_)
     {
     }
 
@@ -75,10 +75,15 @@
     void confirmed_by_source();
     /// Records that the source was restored from an older copy: entries of backend servers that
     /// live may expire before these write again.
-    void source_restored() { backends_.start_grace(core_.now()); }
+    void source_restored();
     /// Records that a peer's source confirmed this state `ago` before now.  Call only if the peer
     /// has no newer state.
     void confirmed_by_peer(millis ago);
+    /// Records that a peer's source has answered without a gap for the last `time`.  Entries that
+    /// expired while this entry was cut off are then those of servers that left.
+    void peer_source_steady(millis time);
+    /// Time for which a source has confirmed the state without a gap that entries expire in.
+    millis source_steady_time() const { return confirmed_at_ - steady_since_; }
     /// Reports that this entry's own source does not answer.  The source counts as lost unless
     /// that of a peer answers.
     void source_failed(const std::string& why);
@@ -195,6 +200,7 @@
     void merge_doubts(const wire::crash_evidence& evidence);
     void mark_source_lost(const std::string& why);
     void mark_source_regained();
+    void set_confirmed(millis at);
 
     kernel& core_;
     relay_state_options options_;
@@ -207,6 +213,9 @@
     bool complete_ = false;
     bool source_lost_ = false;
     millis confirmed_at_{0};
+    millis steady_since_{0};
+    // Last confirmation before an outage that has just ended, in whose wake expired entries stay.
+    std::optional<millis> outage_began_;
     millis configured_at_{0};
     kernel::timer sweep_timer_;
 };
--- a/Tests/Relay/relay_state_test.cpp
+++ b/Tests/Relay/relay_state_test.cpp
@@ -87,6 +87,63 @@
     EXPECT_TRUE(fleet.wait_for([&] { return fleet.state().backends().find("s1") == nullptr; }));
 }
 
+namespace {
+
+// An entry that was cut off for 2 s, in which a server was removed.
+struct cut_entry {
+    cut_entry()
+    {
+        fleet.add_backend("s1");
+        fleet.configure(relay_harness::configuration());
+        fleet.state().source_failed("cut");
+        const millis until = fleet.core().now() + 2000ms;
+        EXPECT_TRUE(fleet.wait_for([&] { return fleet.core().now() > until; }));
+        fleet.state().confirmed_by_source();
+        fleet.state().remove_backend("s1");
+    }
+
+    bool listed() { return fleet.state().backends().find("s1") != nullptr; }
+    bool removed_within(millis time)
+    {
+        const millis until = fleet.core().now() + time;
+        EXPECT_TRUE(fleet.wait_for([&] { return !listed() || fleet.core().now() > until; }));
+        return !listed();
+    }
+
+    relay_harness fleet;
+};
+
+} // namespace
+
+// Guards against requests at servers that left beside a cut: an entry that comes back kept them for
+// longer than DrainMs, as if the store had been away and their entries had only expired (day
+// zone-cut-beside-releases, kmb-jelly, seeds 1 to 4).
+TEST(relay_knowledge, what_was_removed_during_a_cut_goes_if_the_store_served_others)
+{
+    cut_entry entry;
+    entry.fleet.state().peer_source_steady(60000ms);
+    EXPECT_TRUE(entry.removed_within(400ms));
+}
+
+// Guards against live servers that are dropped after an outage of the store, in which their entries
+// expired.
+TEST(relay_knowledge, what_expired_in_an_outage_of_the_store_is_kept_for_a_while)
+{
+    cut_entry entry;
+    EXPECT_EQ(entry.fleet.state().source_steady_time(), 0ms);
+    entry.fleet.state().peer_source_steady(100ms); // its store, too, has just come back
+    EXPECT_FALSE(entry.removed_within(1500ms));
+}
+
+// The same after a restore: what the copy lacks is no sign of servers that left.
+TEST(relay_knowledge, what_a_restored_store_lacks_is_kept_for_a_while)
+{
+    cut_entry entry;
+    entry.fleet.state().source_restored();
+    entry.fleet.state().peer_source_steady(60000ms);
+    EXPECT_FALSE(entry.removed_within(1500ms));
+}
+
 TEST(relay_stop, finishes_open_requests_and_closes_idle_connections)
 {
     relay_server_options options;
