End a grace period only on a digest that is later than the cut

By reading: a digest that a peer sent before a cut, and that arrives when the cut heals, claims a store that answered without a gap up to now, so that an entry could drop live servers after an outage of the store that it missed beside the cut. The digest must now know all that this entry knows of both logs, which one from before the cut does not.

Test over sockets: two_entries.tell_whether_the_store_served_while_the_other_was_cut_off, which fails (2.4 s) without the message between the entries.

--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -451,6 +451,7 @@
     peer& from = peers_.at(address);
     std::vector<peer_log> logs(mirrors_.size());
     bool up_to_date = static_cast<std::size_t>(digest.positions_size()) == mirrors_.size();
+    bool knows_all = up_to_date; // that this entry knows
     from.earlier_era = false;
     for (std::size_t log = 0; log < mirrors_.size(); ++log) {
         const int index = static_cast<int>(log);
@@ -464,12 +465,15 @@
         }
         up_to_date = up_to_date && mirrors_[log]->era() == logs[log].era &&
                      mirrors_[log]->position().value_or(0) >= logs[log].position;
+        knows_all = knows_all && mirrors_[log]->era() == logs[log].era &&
+                    mirrors_[log]->position().value_or(0) <= logs[log].position;
         from.earlier_era = from.earlier_era || logs[log].era < mirrors_[log]->era();
     }
     if (up_to_date && digest.source_answers()) {
         state_->confirmed_by_peer(millis(digest.source_age_ms()));
     }
-    if (digest.source_answers()) {
+    // A digest that was sent before a cut and arrives after it says nothing about that time.
+    if (knows_all && digest.source_answers()) {
         state_->peer_source_steady(millis(digest.source_steady_ms()));
     }
     const millis now = core_.now();
--- a/Tests/Relay/peer_gossip_test.cpp
+++ b/Tests/Relay/peer_gossip_test.cpp
@@ -332,3 +332,29 @@
         EXPECT_LE(peers * 1000ms / options.interval_among(peers), 80) << peers;
     }
 }
+
+// node_cut, zone_cut: guards against requests at servers that left while an entry was cut off: it
+// kept them, as after an outage of the store, although its peer's store had served all the while.
+TEST_F(two_entries, tell_whether_the_store_served_while_the_other_was_cut_off)
+{
+    start(0);
+    relay_state& served = entries[0]->state;
+    const kernel::timer store_answers =
+        entries[0]->core.every(50ms, [&] { served.confirmed_by_source(); });
+    ASSERT_TRUE(run_until([&] { return served.source_steady_time() > 500ms; }));
+    start(1);
+    relay_state& cut = entries[1]->state;
+    cut.start(); // removes servers
+    cut.source_failed("cut");
+    ASSERT_TRUE(run_until([&] { return cut.source_age() > 100ms; }));
+    for (const auto& entry : entries) {
+        entry->orders.apply_listing({}, 5);
+    }
+    cut.remove_backend("s1");
+    ASSERT_NE(cut.backends().find("s1"), nullptr);
+    cut.confirmed_by_source();
+    entries[0]->gossip.source_answers = [] { return true; };
+    const millis regained_at = entries[1]->core.now();
+    EXPECT_TRUE(run_until([&] { return cut.backends().find("s1") == nullptr; }));
+    EXPECT_LT(entries[1]->core.now() - regained_at, 2000ms); // DrainMs
+}
