Wait for the first signal to be handled in the test of the second

entry_end waited 200 ms between two SIGTERMs. On a busy machine the first may not be handled by then, both count as one, and the test passes by the end of the grace period without the second signal. It now waits until the entry no longer answers as ready.

--- a/Tests/EntryProcess/entry_end_test.cpp
+++ b/Tests/EntryProcess/entry_end_test.cpp
@@ -158,7 +158,10 @@
             return;
         case end_way::stopped_twice:
             entry->process().signal(SIGTERM);
-            std::this_thread::sleep_for(std::chrono::milliseconds(200));
+            // Signals of one kind that are not yet handled count once.
+            while (entry->readiness() == 200) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(5));
+            }
             entry->process().signal(SIGTERM);
             return;
         case end_way::server_ends:
