Contain unexpected errors in one request, message or timer

Operators of similar systems: one malformed message or unexpected error took a whole process down. Here any exception in a callback of libevent, ZeroMQ or http_parser did: none was caught, so that all requests of the process ended with the one that met it.

contain_errors runs what a callback does, logs 1005 and gives up what the error concerns: a request is refused with 503 if it has not been sent, else with 502 (500 by the other servers); a call of a backend server ends as lost; a log is listed again, and readers of lists, claims and configurations set their next timer in any case, so that a contained error leaves no reader silent.

A load that is counted before an error in the codec would have stayed counted for ever; it is counted after that now.

--- a/Source/caller_connection.cpp
+++ b/Source/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "caller_connection.h"
 
+#include "contained_errors.h"
 #include "event_log.h"
 #include "reset_on_close.h"
 
@@ -80,7 +81,8 @@
 
 void caller_connection::readable(bufferevent* /*channel*/, void* user)
 {
-    static_cast<caller_connection*>(user)->read();
+    auto* self = static_cast<caller_connection*>(user);
+    contain_errors("caller", [self] { self->read(); });
 }
 
 void caller_connection::writable(bufferevent* /*channel*/, void* user)
@@ -100,13 +102,14 @@
         self->start_timer(self->idle_timeout());
     }
     if (self->on_drained) {
-        self->on_drained();
+        contain_errors("caller", self->on_drained);
     }
 }
 
 void caller_connection::event(bufferevent* /*channel*/, short /*what*/, void* user)
 {
-    static_cast<caller_connection*>(user)->on_caller_disconnected();
+    auto* self = static_cast<caller_connection*>(user);
+    contain_errors("caller", [self] { self->on_caller_disconnected(); });
 }
 
 void caller_connection::read()
@@ -202,6 +205,9 @@
     else if (parse_error == http_parse_error::body_too_large) {
         refusal = {.status = content_too_large, .reason = "body_too_large"};
     }
+    else if (parse_error == http_parse_error::not_handled) {
+        refusal = {.status = unavailable, .reason = "internal_error"};
+    }
     refuse_unread(refusal);
 }
 
--- a/Source/claim_service.cpp
+++ b/Source/claim_service.cpp
@@ -1,5 +1,6 @@
 #include "claim_service.h"
 
+#include "contained_errors.h"
 #include "event_log.h"
 #include "hashing.h"
 #include "idempotency_key.h"
@@ -153,12 +154,14 @@
         part.stream, part.ledger.next_offset(), records_per_read,
         [this, &part](const std::optional<log_page>& page) {
             part.reading = false;
-            if (page) {
-                on_page(part, *page);
-            }
-            decide(part);
-            const bool behind = page && part.ledger.next_offset() < page->next;
-            const bool poll_soon = behind || (page && !part.waiting.empty());
+            const bool handled = contain_errors("claims", [&] {
+                if (page) {
+                    on_page(part, *page);
+                }
+                decide(part);
+            });
+            const bool behind = handled && page && part.ledger.next_offset() < page->next;
+            const bool poll_soon = behind || (handled && page && !part.waiting.empty());
             const millis pause = behind ? 0ms : poll_soon ? 10ms : core_.jittered(options_.poll);
             part.timer = core_.after(pause, [this, &part] { read(part); });
         });
--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -1,5 +1,6 @@
 #include "client_connection.h"
 
+#include "contained_errors.h"
 #include "event_time.h"
 #include "http_reader.h"
 #include "reset_on_close.h"
@@ -412,12 +413,23 @@
     static void on_discard_timeout(evutil_socket_t /*socket*/, short /*what*/, void* user)
     {
         const std::shared_ptr<state> hold = static_cast<state*>(user)->shared_from_this();
-        hold->finish(http_call_result::lost);
+        hold->guard([&] { hold->finish(http_call_result::lost); });
+    }
+
+    // Runs a callback of the event loop. A call whose handler fails ends as `lost`.
+    template <typename Action>
+    void guard(const Action& action)
+    {
+        const std::shared_ptr<state> hold = shared_from_this();
+        if (!contain_errors("response", action)) {
+            contain_errors("response", [this] { finish(http_call_result::lost); });
+        }
     }
 
     static void readable(bufferevent* /*channel*/, void* user)
     {
-        static_cast<state*>(user)->read();
+        auto* self = static_cast<state*>(user);
+        self->guard([&] { self->read(); });
     }
 
     // libevent discards the completion of a connect that has also timed out. Then waits for the
@@ -440,13 +452,13 @@
             return;
         }
         if ((what & BEV_EVENT_CONNECTED) == 0) {
-            self->on_disconnected(what);
+            self->guard([&] { self->on_disconnected(what); });
             return;
         }
         self->connected = true;
         bufferevent_set_timeouts(self->channel, nullptr, nullptr);
         bufferevent_enable(self->channel, EV_READ | EV_WRITE);
-        self->send();
+        self->guard([&] { self->send(); });
     }
 };
 
@@ -494,7 +506,7 @@
             [](evutil_socket_t /*socket*/, short /*what*/, void* user) {
                 const std::unique_ptr<std::shared_ptr<state>> held(
                     static_cast<std::shared_ptr<state>*>(user));
-                (*held)->finish(http_call_result::not_sent);
+                (*held)->guard([&] { (*held)->finish(http_call_result::not_sent); });
             },
             new std::shared_ptr<state>(state_), nullptr);
         return;
--- a/Source/configuration_feed.cpp
+++ b/Source/configuration_feed.cpp
@@ -1,5 +1,6 @@
 #include "configuration_feed.h"
 
+#include "contained_errors.h"
 #include "event_log.h"
 
 #include <nlohmann/json.hpp>
@@ -41,26 +42,24 @@
         return;
     }
     reading_ = true;
-    log_.read(options_.stream, state_.offset(), max_records_per_read,
-              [this](const std::optional<log_page>& page) {
-                  reading_ = false;
-                  if (page.has_value() != log_reachable_) {
-                      log_reachable_ = page.has_value();
-                      log_event(log_reachable_ ? event_id::log_reachable
-                                               : event_id::log_unreachable,
-                                "stream={}", options_.stream);
-                  }
-                  const std::uint64_t offset_before = state_.offset();
-                  if (page) {
-                      on_page(*page);
-                  }
-                  if (state_.offset() > offset_before && page && page->next > state_.offset()) {
-                      poll();
-                  }
-                  else {
-                      schedule_poll();
-                  }
-              });
+    log_.read(
+        options_.stream, state_.offset(), max_records_per_read,
+        [this](const std::optional<log_page>& page) {
+            reading_ = false;
+            if (page.has_value() != log_reachable_) {
+                log_reachable_ = page.has_value();
+                log_event(log_reachable_ ? event_id::log_reachable : event_id::log_unreachable,
+                          "stream={}", options_.stream);
+            }
+            const std::uint64_t offset_before = state_.offset();
+            const bool handled = page && contain_errors("configuration", [&] { on_page(*page); });
+            if (handled && state_.offset() > offset_before && page->next > state_.offset()) {
+                poll();
+            }
+            else {
+                schedule_poll();
+            }
+        });
 }
 
 void configuration_feed::on_page(const log_page& page)
--- a/Source/event_log.cpp
+++ b/Source/event_log.cpp
@@ -115,6 +115,7 @@
         {event_id::process_stopping, severity::info, "process_stopping"},
         {event_id::process_stopped, severity::info, "process_stopped"},
         {event_id::loop_delayed, severity::info, "loop_delayed"},
+        {event_id::error_contained, severity::error, "error_contained"},
         {event_id::configuration_advanced, severity::info, "configuration_advanced"},
         {event_id::configuration_snapshot_taken, severity::info, "configuration_snapshot_taken"},
         {event_id::configuration_gap, severity::warning, "configuration_gap"},
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -25,6 +25,7 @@
     process_stopping = 1002,
     process_stopped = 1003,
     loop_delayed = 1004,
+    error_contained = 1005,
     configuration_advanced = 1101,
     configuration_snapshot_taken = 1102,
     configuration_gap = 1103,
@@ -93,7 +94,7 @@
     std::string_view name;
 };
 
-inline constexpr std::size_t event_count = 63;
+inline constexpr std::size_t event_count = 64;
 
 /// Catalogue of all events, sorted by number.
 const std::array<event_description, event_count>& event_catalogue();
--- a/Source/http_client.cpp
+++ b/Source/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http_client.h"
 
+#include "contained_errors.h"
 #include "event_time.h"
 
 #include <event2/event.h>
@@ -98,7 +99,7 @@
         const handlers callbacks = std::move(receivers);
         receivers = {};
         if (callbacks.on_end) {
-            callbacks.on_end(end);
+            contain_errors("response", [&] { callbacks.on_end(end); });
         }
     }
 };
--- a/Source/http_message.cpp
+++ b/Source/http_message.cpp
@@ -17,6 +17,11 @@
     "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate", "TE",
     "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length"};
 
+bool is_printable_byte(char byte)
+{
+    return byte >= ' ' && byte <= '~';
+}
+
 std::string_view trimmed(std::string_view text)
 {
     while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
@@ -122,6 +127,19 @@
     });
 }
 
+bool is_printable(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), is_printable_byte);
+}
+
+std::string printable_text(std::string_view text)
+{
+    std::string result(text);
+    std::replace_if(
+        result.begin(), result.end(), [](char byte) { return !is_printable_byte(byte); }, '?');
+    return result;
+}
+
 std::string request_text(const http_head& head)
 {
     fmt::memory_buffer text;
--- a/Source/http_message.h
+++ b/Source/http_message.h
@@ -44,6 +44,11 @@
 /// named in `end_to_end` are kept even if `Connection` lists them.
 void remove_hop_by_hop_headers(http_head& head, const std::vector<std::string>& end_to_end);
 
+/// Whether all bytes are printable ASCII characters, spaces included.
+bool is_printable(std::string_view text);
+/// Returns the text with `?` in place of each byte that is no printable ASCII character.
+std::string printable_text(std::string_view text);
+
 /// Serializes the start line and the headers, up to and including the empty line.
 std::string request_text(const http_head& head);
 std::string response_text(const http_head& head);
--- a/Source/http_reader.cpp
+++ b/Source/http_reader.cpp
@@ -1,5 +1,7 @@
 #include "http_reader.h"
 
+#include "contained_errors.h"
+
 #include <http_parser.h>
 
 #include <algorithm>
@@ -159,8 +161,8 @@
             return fail(http_parse_error::body_too_large);
         }
         head.keep_alive = http_should_keep_alive(&parser) != 0;
-        if (receivers.on_head) {
-            receivers.on_head(head);
+        if (receivers.on_head && !contain_errors("head", [&] { receivers.on_head(head); })) {
+            return fail(http_parse_error::not_handled);
         }
         return no_body ? skip_body : 0;
     }
@@ -172,8 +174,9 @@
         if (self.body_bytes > self.limits.body_bytes) {
             return self.fail(http_parse_error::body_too_large);
         }
-        if (self.receivers.on_body) {
-            self.receivers.on_body({at, length});
+        const auto handle = [&] { self.receivers.on_body({at, length}); };
+        if (self.receivers.on_body && !contain_errors("body", handle)) {
+            return self.fail(http_parse_error::not_handled);
         }
         return 0;
     }
--- a/Source/http_reader.h
+++ b/Source/http_reader.h
@@ -15,7 +15,8 @@
     malformed,
     head_too_large,
     body_too_large,
-    early_end // the connection closed before the message was complete
+    early_end,  // the connection closed before the message was complete
+    not_handled // an error in a handler, which event 1005 reports
 };
 
 enum class http_message_type { request, response };
--- a/Source/http_server.cpp
+++ b/Source/http_server.cpp
@@ -1,5 +1,6 @@
 #include "http_server.h"
 
+#include "contained_errors.h"
 #include "reset_on_close.h"
 
 #include <event2/buffer.h>
@@ -17,6 +18,7 @@
 
 namespace {
 
+constexpr int http_internal_error = 500;
 constexpr ev_uint16_t allowed_methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
                                         EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH;
 
@@ -70,7 +72,7 @@
         self->server->delimited_.erase(self->request);
         const auto locked = self->exchange.lock();
         if (locked && locked->request_ != nullptr) {
-            locked->on_caller_disconnected();
+            contain_errors("disconnection", [&] { locked->on_caller_disconnected(); });
         }
     }
 };
@@ -185,7 +187,7 @@
     }
     const std::function<void()> notify = exchange->on_drained;
     if (notify) {
-        notify();
+        contain_errors("response", notify);
     }
 }
 
@@ -202,6 +204,19 @@
     }
 }
 
+void http_exchange::end_after_error()
+{
+    if (closed()) {
+        return;
+    }
+    if (evhttp_request_get_response_code(request_) != 0) { // a response has begun
+        abort();
+        return;
+    }
+    on_closed = nullptr;
+    reply(http_internal_error, "text/plain", "the request could not be handled\n");
+}
+
 void http_exchange::close_connection()
 {
     const std::shared_ptr<http_exchange> hold = self_;
@@ -307,7 +322,9 @@
     evhttp_request_set_on_complete_cb(request, &http_exchange::exchange_tracker::on_complete, raw);
     evhttp_connection_set_closecb(evhttp_request_get_connection(request),
                                   &http_exchange::exchange_tracker::on_close, raw);
-    server->on_request_(exchange);
+    if (!contain_errors("request", [&] { server->on_request_(exchange); })) {
+        exchange->end_after_error();
+    }
 }
 
 } // namespace cyclamen
--- a/Source/http_server.h
+++ b/Source/http_server.h
@@ -72,6 +72,8 @@
     void on_caller_disconnected();
     static void on_written(evhttp_connection* connection, void* user);
     void close_connection();
+    /// Ends the response if the request could not be handled.
+    void end_after_error();
     void detach();
 
     evhttp_request* request_;
--- a/Source/instance_directory.cpp
+++ b/Source/instance_directory.cpp
@@ -77,6 +77,7 @@
                            instances_ = std::move(*list);
                            changed.emit();
                        }
+                       // The list that is known gives the interval: an error below stops no reads.
                        timer_ = core_.after(next_poll_delay(), [this] { poll(); });
                    });
 }
--- a/Source/kernel.cpp
+++ b/Source/kernel.cpp
@@ -1,5 +1,6 @@
 #include "kernel.h"
 
+#include "contained_errors.h"
 #include "event_log.h"
 #include "event_time.h"
 
@@ -33,7 +34,7 @@
 {
     const auto* core = static_cast<kernel*>(user);
     if (core->on_reload) {
-        core->on_reload();
+        contain_errors("reload", core->on_reload);
     }
 }
 
@@ -74,7 +75,7 @@
         }
         // The action may destroy the timer and with it the stored function, so a copy is called.
         const std::function<void()> action = self->action;
-        action();
+        contain_errors("timer", action);
     }
 };
 
--- a/Source/log_follower.cpp
+++ b/Source/log_follower.cpp
@@ -1,5 +1,6 @@
 #include "log_follower.h"
 
+#include "contained_errors.h"
 #include "event_log.h"
 
 #include <iterator>
@@ -25,8 +26,21 @@
 
 void log_follower::request_next_page()
 {
-    hooks_.list(next_page_after_,
-                [this](keyed_log_page page) { handle_list_page(std::move(page)); });
+    hooks_.list(next_page_after_, [this](keyed_log_page page) {
+        handle([&] { handle_list_page(std::move(page)); });
+    });
+}
+
+// Reading goes on with a new listing after an error that a record caused.
+void log_follower::handle(const std::function<void()>& page_handler)
+{
+    if (contain_errors("records", page_handler)) {
+        return;
+    }
+    read_pending_ = false;
+    restart_listing();
+    fail("unexpected_error");
+    schedule(options_.retry_delay, &log_follower::request_next_page);
 }
 
 void log_follower::restart_listing()
@@ -124,8 +138,9 @@
     }
     read_era_ = mirror_.era();
     read_pending_ = options_.wait > 0ms;
-    hooks_.read(mirror_.position().value_or(0), options_.wait,
-                [this](keyed_log_page page) { handle_read_page(std::move(page)); });
+    hooks_.read(mirror_.position().value_or(0), options_.wait, [this](keyed_log_page page) {
+        handle([&] { handle_read_page(std::move(page)); });
+    });
 }
 
 void log_follower::handle_read_page(keyed_log_page page)
--- a/Source/log_follower.h
+++ b/Source/log_follower.h
@@ -79,6 +79,7 @@
     void request_next_page();
     void read_next();
     void read_now();
+    void handle(const std::function<void()>& page_handler);
     void handle_list_page(keyed_log_page page);
     void handle_read_page(keyed_log_page page);
     void restart_listing();
--- a/Source/message_socket.cpp
+++ b/Source/message_socket.cpp
@@ -1,5 +1,6 @@
 #include "message_socket.h"
 
+#include "contained_errors.h"
 #include "event_log.h"
 
 #include <event2/event.h>
@@ -97,7 +98,7 @@
         }
         if (disconnected && self->on_disconnected) {
             const std::function<void()> notify = self->on_disconnected;
-            notify();
+            contain_errors("disconnection", notify);
         }
     }
 
@@ -133,7 +134,7 @@
                       wire_version);
             return true;
         }
-        on_message(route, message);
+        contain_errors("peer_message", [&] { on_message(route, message); });
         return true;
     }
 };
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -294,7 +294,6 @@
     software_version_ = server.entry.software_version;
     announce_origin();
     tried_backends_.insert(backend_id_);
-    ++server.in_flight;
     for (const std::uint64_t part : shared_prefix_segments()) {
         context_.state.add_location(
             {static_cast<std::uint32_t>(part), static_cast<std::uint32_t>(server.hash)});
@@ -326,6 +325,7 @@
     connection_ = metadata_.id.empty() ? context_.connections.open(server.entry.address)
                                        : context_.connections.acquire(backend_incarnation_,
                                                                       server.entry.address, once);
+    ++server.in_flight; // `release_call` undoes this
     log_event(event_id::backend_chosen,
               "request={} route={} prompt={:x} backend={} software={} after_event={} zone={} "
               "reason={} rank={} kept={} "
@@ -849,6 +849,23 @@
     refuse(open || attempts_->may_have_run() ? bad_gateway : unavailable, why);
 }
 
+void relay_exchange::end_after_error()
+{
+    if (ended_) {
+        return;
+    }
+    const bool may_have_run =
+        connection_ != nullptr || (attempts_ != nullptr && attempts_->may_have_run());
+    end_trial(false);
+    release_call(true);
+    if (response_head_sent_) {
+        caller_->abort_response();
+        end("internal_error");
+        return;
+    }
+    refuse(may_have_run ? bad_gateway : unavailable, "internal_error");
+}
+
 void relay_exchange::release_call(bool abandon)
 {
     if (connection_ == nullptr) {
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -80,6 +80,8 @@
     void begin();
     /// Ends the exchange at once because the process is stopping.
     void abort(const std::string& why);
+    /// Ends the exchange because of an unexpected error in `begin`.
+    void end_after_error();
 
 private:
     enum class body_mode {
--- a/Source/relay_server.cpp
+++ b/Source/relay_server.cpp
@@ -1,5 +1,6 @@
 #include "relay_server.h"
 
+#include "contained_errors.h"
 #include "event_log.h"
 #include "relay_state.h"
 
@@ -70,7 +71,10 @@
         listener_ = evconnlistener_new_bind(
             core_.loop(),
             [](evconnlistener* /*listener*/, evutil_socket_t socket, sockaddr* /*from*/,
-               int /*length*/, void* user) { static_cast<relay_server*>(user)->accept(socket); },
+               int /*length*/, void* user) {
+                contain_errors("connection",
+                               [&] { static_cast<relay_server*>(user)->accept(socket); });
+            },
             this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, listen_backlog,
             reinterpret_cast<sockaddr*>(&address), length);
     }
@@ -175,7 +179,9 @@
         });
     relay_exchange& started = *exchange;
     callers_[&from].exchange = std::move(exchange);
-    started.begin();
+    if (!contain_errors("request", [&] { started.begin(); })) {
+        started.end_after_error();
+    }
 }
 
 void relay_server::schedule_cleanup()
--- a/Tests/Relay/log_follower_test.cpp
+++ b/Tests/Relay/log_follower_test.cpp
@@ -7,6 +7,8 @@
 #include <event2/event.h>
 #include <gtest/gtest.h>
 
+#include <stdexcept>
+
 using namespace cyclamen;
 
 namespace {
@@ -14,7 +16,12 @@
 class log_follower_listing : public testing::Test {
 protected:
     log_follower_listing()
-        : mirror({.on_change = [](const mirrored_record& /*record*/) {}}),
+        : mirror({.on_change =
+                      [this](const mirrored_record& record) {
+                          if (record.key == harmful_key) {
+                              throw std::runtime_error("record");
+                          }
+                      }}),
           follower(core, {.name = "servers"}, mirror,
                    {.list =
                         [this](const std::optional<std::string>& after,
@@ -59,6 +66,7 @@
     log_follower follower;
     std::function<void(keyed_log_page)> pending_call;
     std::string listed_after;
+    std::string harmful_key; // of records that cannot be handled
     std::uint64_t read_from = 0;
     unsigned failures = 0;
     unsigned updates = 0;
@@ -236,3 +244,22 @@
     reply({.end = log_call_status::answered, .records = {record("b", 4)}, .log_end = 5});
     EXPECT_NE(mirror.find("b"), nullptr);
 }
+
+// Guards against an entry that hears of nothing any more because one record could not be handled.
+TEST_F(log_follower_listing, goes_on_after_a_record_that_cannot_be_handled)
+{
+    harmful_key = "a";
+    reply({.end = log_call_status::answered, .records = {record("a", 3)}, .log_end = 4});
+    EXPECT_EQ(failures, 1U);
+    harmful_key.clear();
+    ASSERT_TRUE(wait_for_call());
+    reply({.end = log_call_status::answered, .records = {record("b", 3)}, .log_end = 4});
+    EXPECT_EQ(read_from, 4U);
+    harmful_key = "c";
+    reply({.end = log_call_status::answered,
+           .records = {record("c", 4)},
+           .log_end = 5,
+           .next_offset = 5});
+    EXPECT_EQ(failures, 2U);
+    EXPECT_TRUE(wait_for_call());
+}
--- a/Tests/Relay/relay_harness.cpp
+++ b/Tests/Relay/relay_harness.cpp
@@ -294,7 +294,8 @@
 // Tests of slow callers choose their own bounds, which are lower.
 constexpr std::size_t connection_bytes = 1073741824;
 
-relay_harness::relay_harness(relay_server_options options, relay_state_options state)
+relay_harness::relay_harness(relay_server_options options, relay_state_options state,
+                             header_codec codec)
     : port_(free_port()), core_({.program = "relay_harness",
                                  .instance = "test",
                                  .random_seed = 7,
@@ -303,8 +304,8 @@
     options.listen = {.host = "127.0.0.1", .port = port_};
     options.chooser.zone = std::string("a");
     state_ = &core_.add(std::make_unique<relay_state>(core_, state));
-    relay_ = &core_.add(
-        std::make_unique<relay_server>(core_, std::move(options), platform::make_header_codec()));
+    relay_ =
+        &core_.add(std::make_unique<relay_server>(core_, std::move(options), std::move(codec)));
     state_->start();
     relay_->start();
 }
--- a/Tests/Relay/relay_harness.h
+++ b/Tests/Relay/relay_harness.h
@@ -123,7 +123,8 @@
 class relay_harness {
 public:
     explicit relay_harness(cyclamen::relay_server_options options = {},
-                           cyclamen::relay_state_options state = {});
+                           cyclamen::relay_state_options state = {},
+                           cyclamen::header_codec codec = cyclamen::platform::make_header_codec());
 
     /// Runs the relay until `condition` holds; returns false if it does not within 5 s.
     bool wait_for(const std::function<bool()>& condition);
