Survive foreign bytes in chats, content types, paths and lists

Found while looking for ways in which one message ends a process: - A chat whose JSON is nested a few hundred thousand levels deep (4 MB hold two million) overflows the stack of an entry when its messages are written back for their hashes. Rejected with 400 above 128 levels. - A content type that is not UTF-8 in the answer of a keyed request ends the agent, because the record of the answer is JSON. It is made printable. - The same bytes in a path or content type make messages between entries and agents unreadable: the caller waited for its deadline. 400, or made printable. - One row of the instance list that cannot be read made the whole list unusable, and an address that is none ended the process that connected to it.

--- a/Source/agent_core.cpp
+++ b/Source/agent_core.cpp
@@ -1,6 +1,7 @@
 #include "agent_core.h"
 
 #include "hashing.h"
+#include "http_message.h"
 #include "refusal_names.h"
 
 #include <fmt/format.h>
@@ -504,7 +505,7 @@
         return;
     }
     found->second.status = status;
-    found->second.content_type = content_type;
+    found->second.content_type = printable_text(content_type); // messages carry UTF-8 only
     publish_crash_evidence(crashes_.on_server_heard(backend_incarnation(), now), now);
 }
 
--- a/Source/caller_server.cpp
+++ b/Source/caller_server.cpp
@@ -312,7 +312,16 @@
         path += "?" + caller->query();
     }
     message.set_path(path);
-    message.set_content_type(caller->header("Content-Type"));
+    message.set_content_type(content_type);
+    const std::string content_type = caller->header("Content-Type");
+    // Messages carry UTF-8 only.
+    if (!is_printable(rest) || !is_printable(caller->query()) || !is_printable(content_type)) {
+        send_problem(caller,
+                     problem_document::refused(400, "Malformed request", "malformed_head",
+                                               "encode bytes other than printable ASCII "
+                                               "characters in the path, and omit them in headers"));
+        return;
+    }
     message.set_body(caller->body());
     // Requests with the same key rank the agents alike; others are spread at random.
     const std::uint64_t placement_hash = key ? hash_of(key->stored()) : core_.random();
--- a/Source/chat_request.cpp
+++ b/Source/chat_request.cpp
@@ -2,6 +2,7 @@
 
 #include "hashing.h"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace cyclamen {
@@ -10,12 +11,29 @@
 using json = nlohmann::json;
 
 constexpr std::size_t max_parts = 64;
+constexpr int max_depth = 128; // writing a value takes stack space for each level of nesting
+
+// Parses a document without the values that are nested too deeply, and tells whether there are any.
+json parse_document(std::string_view text, bool& too_deep)
+{
+    const auto keep = [&](int depth, json::parse_event_t /*event*/, json& /*value*/) {
+        too_deep = too_deep || depth > max_depth;
+        return depth <= max_depth;
+    };
+    return json::parse(text, keep, false);
+}
+
 } // namespace
 
 std::optional<chat_request> chat_request::parse(std::string_view body, const std::string& account,
                                                 std::string& reason)
 {
-    const json document = json::parse(body, nullptr, false);
+    bool too_deep = false;
+    const json document = parse_document(body, too_deep);
+    if (too_deep) {
+        reason = fmt::format("values are nested more than {} levels deep", max_depth);
+        return std::nullopt;
+    }
     if (!document.is_object()) {
         reason = "the body is not a JSON object";
         return std::nullopt;
--- a/Source/claim_record.cpp
+++ b/Source/claim_record.cpp
@@ -1,6 +1,7 @@
 #include "claim_record.h"
 
 #include "hashing.h"
+#include "http_message.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -47,7 +48,7 @@
     json row{{"k", answer.key},
              {"t", answer.token},
              {"s", answer.status},
-             {"c", answer.content_type},
+             {"c", printable_text(answer.content_type)},
              {"kept", answer.kept}};
     if (is_utf8(answer.body)) {
         row["b"] = answer.body;
--- a/Source/instance_directory.cpp
+++ b/Source/instance_directory.cpp
@@ -14,29 +14,47 @@
 
 using json = nlohmann::json;
 
-std::optional<std::map<std::string, listed_instance>> parse_list(const std::string& text)
+// Returns nothing for a row that is not as it should be, which says nothing about the others.
+std::optional<listed_instance> parse_row(const json& row)
 {
     try {
-        std::map<std::string, listed_instance> instances;
-        const json document = json::parse(text);
-        for (const json& row : document.at("instances")) {
-            listed_instance listed{
-                .name = row.at("name"),
-                .role = value_of(instance_role_names, row.at("role").get<std::string>())
-                            .value_or(instance_role::agent),
-                .availability_zone = row.at("availability_zone"),
-                .service = row.value("service", ""),
-                .address = row.at("address"),
-                .leaving = row.value("state", "live") == "leaving"};
-            instances.emplace(listed.name, listed);
+        listed_instance listed{.name = row.at("name"),
+                               .role =
+                                   value_of(instance_role_names, row.at("role").get<std::string>())
+                                       .value_or(instance_role::agent),
+                               .availability_zone = row.at("availability_zone"),
+                               .service = row.value("service", ""),
+                               .address = row.at("address"),
+                               .leaving = row.value("state", "live") == "leaving"};
+        if (listed.role == instance_role::agent && !net_address::parse(listed.address)) {
+            return std::nullopt;
         }
-        return instances;
+        return listed;
     }
     catch (const json::exception&) {
         return std::nullopt;
     }
 }
 
+std::optional<std::map<std::string, listed_instance>> parse_list(const std::string& text)
+{
+    const json document = json::parse(text, nullptr, false);
+    if (!document.is_object() || !document.contains("instances") ||
+        !document["instances"].is_array()) {
+        return std::nullopt;
+    }
+    std::map<std::string, listed_instance> instances;
+    for (const json& row : document["instances"]) {
+        const auto listed = parse_row(row);
+        if (!listed) {
+            log_event(event_id::record_unreadable, "key=? offset=? why=\"no row of the list\"");
+            continue;
+        }
+        instances.emplace(listed->name, *listed);
+    }
+    return instances;
+}
+
 } // namespace
 
 instance_directory::instance_directory(kernel& core, instance_directory_options options)
@@ -59,6 +77,8 @@
                     .headers = {},
                     .timeout = options_.timeout},
                    [this](const http_response& response) {
+                       // The list that is known gives the interval: an error below stops no reads.
+                       timer_ = core_.after(next_poll_delay(), [this] { poll(); });
                        std::optional<std::map<std::string, listed_instance>> list;
                        if (response.end == http_call_result::complete) {
                            list = parse_list(response.body);
@@ -77,8 +97,6 @@
                            instances_ = std::move(*list);
                            changed.emit();
                        }
-                       // The list that is known gives the interval: an error below stops no reads.
-                       timer_ = core_.after(next_poll_delay(), [this] { poll(); });
                    });
 }
 
--- a/Tests/Decisions/agent_core_test.cpp
+++ b/Tests/Decisions/agent_core_test.cpp
@@ -65,6 +65,9 @@
     wire::answer_end end = wire::more;
     agent_core core{{.instance = "a1", .service = "model", .incarnation = agent_incarnation},
                     configuration,
+    std::vector<wire::envelope> parts; // of answers
+    unsigned stopped = 0;              // runs that were stopped
+    std::string body;                  // of the requests
                     metrics,
                     {.send =
                          [this](const std::string& /*route*/, const wire::envelope& message) {
@@ -75,6 +78,7 @@
                              if (message.has_answer_part()) {
                                  end = message.answer_part().end();
                              }
+                                 parts.push_back(message);
                          },
                      .start_run = [](attempt_id, const wire::dispatch&) {},
                      .stop_run = [](attempt_id) {},
@@ -117,6 +121,95 @@
 
 namespace {
 
+// Guards against an answer that its entry never gets: a message whose text is not UTF-8 cannot be
+// read.
+TEST_F(agent_of_engine, passes_an_answer_on_whose_content_type_is_not_utf_8)
+{
+    ASSERT_EQ(dispatch(1, {}), wire::refusal_none);
+    core.on_answer_head(id, 200, "text/\xff; a=b", now);
+    core.on_answer_data(id, "x", now);
+    core.on_run_end(id, run_outcome::complete, now);
+    EXPECT_EQ(end, wire::complete);
+    wire::envelope read;
+    ASSERT_TRUE(read.ParseFromString(parts.at(0).SerializeAsString()));
+    EXPECT_EQ(read.answer_part().content_type(), "text/?; a=b");
+}
+
+// stalled engine: guards against a run that sends a byte now and then and holds its slot for ever.
+TEST_F(agent_of_engine, gives_up_a_run_that_goes_on_long_after_its_deadline)
+{
+    ASSERT_EQ(dispatch(1, {}), wire::refusal_none);
+    core.on_answer_head(id, 200, "text/event-stream", now);
+    const millis until = now + 3600000ms;
+    while (now < until && core.in_flight() > 0) {
+        now += 1000ms;
+        core.on_route_activity("entry", now);
+        core.on_answer_data(id, ":", now);
+        core.on_tick(now);
+    }
+    EXPECT_EQ(core.in_flight(), 0U);
+    EXPECT_EQ(end, wire::failed_maybe_run);
+    EXPECT_EQ(stopped, 1U);
+}
+
+// slow engine: guards against the end of a sound stream that takes all of its time.
+TEST_F(agent_of_engine, lets_a_slow_stream_go_on_until_its_deadline)
+{
+    ASSERT_EQ(dispatch(1, {}), wire::refusal_none);
+    core.on_answer_head(id, 200, "text/event-stream", now);
+    for (const millis until = now + 59000ms; now < until;) {
+        now += 1000ms;
+        core.on_route_activity("entry", now);
+        core.on_answer_data(id, "data: x\n\n", now);
+        core.on_tick(now);
+    }
+    core.on_run_end(id, run_outcome::complete, now);
+    EXPECT_EQ(end, wire::complete);
+    EXPECT_EQ(stopped, 0U);
+}
+
+// answers without end: guards against the sum over all runs, each of which is within its limit.
+TEST_F(agent_of_engine, bounds_what_all_unacknowledged_answers_hold_together)
+{
+    constexpr std::size_t limit = 67108864;
+    constexpr std::size_t piece = 65536;
+    std::map<attempt_id, std::size_t> held;
+    for (std::uint64_t chat = 1; chat <= 12; ++chat) {
+        ASSERT_EQ(dispatch(chat, {}), wire::refusal_none);
+        core.on_answer_head(id, 200, "text/plain", now);
+        held[id] = 0;
+    }
+    const std::string data(piece, 'x');
+    for (std::size_t round = 0; round < 120; ++round) {
+        for (auto& [run, bytes] : held) {
+            end = wire::more;
+            core.on_answer_data(run, data, now);
+            bytes = end == wire::more ? bytes + piece : 0;
+        }
+    }
+    std::size_t sum = 0;
+    for (const auto& [run, bytes] : held) {
+        sum += bytes;
+    }
+    EXPECT_LE(sum, limit);
+    EXPECT_GT(sum, limit / 4);
+}
+
+// large requests: guards against the sum over those that wait.
+TEST_F(agent_of_engine, bounds_what_all_waiting_requests_hold_together)
+{
+    constexpr std::size_t limit = 67108864;
+    body = std::string(4194304, 'x');
+    std::size_t accepted = 0;
+    for (std::uint64_t chat = 1; chat <= 40; ++chat) {
+        accepted += dispatch(chat, {}) == wire::refusal_none ? 1 : 0;
+    }
+    EXPECT_LE(accepted * body.size(), limit);
+    EXPECT_GE(accepted, 2U);
+    body = "small";
+    EXPECT_EQ(dispatch(50, {}), wire::refusal_none);
+}
+
 // How a run ends whose engine has crashed.
 struct run_way {
     std::string name;
--- a/Tests/Entries/entry_answers_test.cpp
+++ b/Tests/Entries/entry_answers_test.cpp
@@ -303,3 +303,28 @@
     EXPECT_EQ(received.find("error"), std::string::npos) << received;
     EXPECT_EQ(received.find("\r\n0\r\n"), std::string::npos) << received;
 }
+
+// Guards against a request that waits for its deadline because no agent can read its message.
+TEST_F(entry_answers, reject_a_path_that_messages_cannot_carry)
+{
+    ASSERT_NO_FATAL_FAILURE(send("GET /services/orders/\xff", ""));
+    ASSERT_TRUE(wait_for([&] { return ended; }));
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 400")) << received;
+}
+
+// Guards against a refusal that says of a request which has run that it has not.
+TEST_F(entry_answers, that_are_too_large_are_no_promise_that_the_request_has_not_run)
+{
+    const std::string half(5000000, 'x');
+    ASSERT_NO_FATAL_FAILURE(send("GET /services/orders/x", ""));
+    scripted_agent& agent = receiver_of(1);
+    agent.answer(half, "text/plain", wire::more);
+    wire::answer_part last;
+    last.set_offset(half.size());
+    last.set_data(half);
+    last.set_end(wire::complete);
+    last.set_total_length(2 * half.size());
+    agent.send(std::move(last));
+    ASSERT_TRUE(wait_for([&] { return ended; }));
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 502")) << received.substr(0, 200);
+}
