Answer 502, not 503, if a collected response is too large

Callers of an entry got 503 with Retry-After for a request whose response exceeds 8 MB: the outcome was `answered`, for which the problem document takes the status of requests that have not run. The refusal must be true, and the request has run, so the outcome is reported as unknown.

--- a/Source/caller_server.cpp
+++ b/Source/caller_server.cpp
@@ -405,7 +405,7 @@
                     }
                     else {
                         end_with_problem(caller, context->stage(),
-                                         problem_document::of(end.result, end.reason));
+                                         problem_document::of(result, end.reason));
                     }
                 },
             .committed = [context] { return context->response_started; },
@@ -420,3 +420,6 @@
 }
 
 } // namespace cyclamen
+                        // A response that is too large shows that the request has run.
+                        const outcome result =
+                            end.result == outcome::answered ? outcome::unknown : end.result;
--- a/Tests/Entries/entry_answers_test.cpp
+++ b/Tests/Entries/entry_answers_test.cpp
@@ -142,7 +142,9 @@
         dispatcher.start();
         callers.start();
         configuration.on_update(snapshot());
-        EXPECT_TRUE(wait_for([&] { return directory.instances().size() == agents.size(); }));
+        EXPECT_TRUE(wait_for([&] {
+            return directory.instances().size() == agents.size() && configuration.caught_up();
+        }));
     }
     entry_answers(const entry_answers&) = delete;
     entry_answers& operator=(const entry_answers&) = delete;
@@ -160,6 +162,7 @@
         const nlohmann::json services{{"orders", {{"model", false}, {"repeatable", true}}},
                                       {"model", {{"model", true}, {"repeatable", true}}}};
         wire::configuration_update update;
+        update.set_caught_up(true);
         update.set_snapshot(nlohmann::json{{"snapshot_offset", 1},
                                            {"revision", 1},
                                            {"settled_by", "test"},
