Accept requests only once the configuration has been read to its end

Operators of similar systems: after a restart, a key that had been withdrawn was in use again. Here an entry was ready as soon as any service was known: while it read the log page by page, or had a peer's older state, it accepted the keys of that time, for as long as the log was away then.

configuration_feed tells whether it has caught up: the log was read to its end once since the start, or, while the log is unreachable, all is known that a peer knows of which this holds. Until then an entry is not ready and refuses with 503 configuration_behind, which has not run.

--- a/Source/caller_server.cpp
+++ b/Source/caller_server.cpp
@@ -188,7 +188,8 @@
         return;
     }
     if (caller->path() == "/readyz") {
-        const bool ready = !stopping_ && !configuration_->state().services().empty();
+        const bool ready = !stopping_ && configuration_->caught_up() &&
+                           !configuration_->state().services().empty();
         caller->reply(ready ? http_ok : http_unavailable, "text/plain",
                       ready ? "ready\n" : "not ready\n");
         return;
@@ -202,6 +203,11 @@
     }
     if (caller->path() == "/v1/models") {
         list_models(caller);
+    // Until then, the keys and services that are known may have been withdrawn.
+    if (!configuration_->caught_up()) {
+        send_problem(caller, problem_document::of(outcome::not_run, wire::configuration_behind));
+        return;
+    }
     }
     else if (caller->path() == "/v1/chat/completions") {
         on_chat_completion(caller, account);
--- a/Source/configuration_feed.cpp
+++ b/Source/configuration_feed.cpp
@@ -81,9 +81,19 @@
         apply(record.offset, record.data);
     }
     handle_advance(offset_before);
+    if (!read_to_end_ && state_.offset() >= page.next) {
+        read_to_end_ = true;
+        log_event(event_id::configuration_caught_up, "offset={} revision={}", state_.offset(),
+                  state_.revision());
+    }
     append_snapshot_if_due();
 }
 
+bool configuration_feed::caught_up() const
+{
+    return read_to_end_ || (!log_reachable_ && peer_offset_ && state_.offset() >= *peer_offset_);
+}
+
 void configuration_feed::apply(std::uint64_t offset, const std::string& data)
 {
     if (offset != state_.offset() || !state_.apply(offset, data)) {
@@ -119,6 +129,7 @@
 {
     wire::configuration_update update;
     update.set_offset(state_.offset());
+    update.set_caught_up(caught_up());
     update.set_want_reply(true);
     return update;
 }
@@ -134,6 +145,7 @@
 {
     wire::configuration_update update;
     update.set_offset(state_.offset());
+    update.set_caught_up(caught_up());
     if (offset >= state_.offset()) {
         return update;
     }
@@ -153,6 +165,9 @@
 configuration_feed::on_update(const wire::configuration_update& update)
 {
     last_confirmed_at_ = core_.now();
+    if (update.caught_up()) {
+        peer_offset_ = std::max(peer_offset_.value_or(0), update.offset());
+    }
     const std::uint64_t offset_before = state_.offset();
     if (!update.snapshot().empty() && state_.restore(update.snapshot())) {
         recent_.clear();
@@ -264,6 +279,7 @@
     return {{"offset", state_.offset()},
             {"revision", state_.revision()},
             {"log_up", log_reachable_},
+            {"caught_up", caught_up()},
             {"confirmed_ms_ago", (core_.now() - last_confirmed_at_).count()},
             {"zones_out", state_.zones_out()},
             {"drained", state_.drained()},
--- a/Source/configuration_feed.h
+++ b/Source/configuration_feed.h
@@ -50,6 +50,11 @@
 
     const configuration_state& state() const { return state_; }
 
+    /// True if this process has read the log to its end once since its start, or, while the log is
+    /// unreachable, knows all that a peer knows of which this holds.  Before, the state may hold
+    /// what has been withdrawn, such as a client account's key.
+    bool caught_up() const;
+
     /// Appends a command to the log and calls `on_outcome` once its record was applied, or with
     /// nullptr if that has not happened within `deadline`.
     void submit(const configuration_command& command, millis deadline,
@@ -108,6 +113,9 @@
     kernel::timer pending_timer_;
     bool reading_ = false;
     bool log_reachable_ = true;
+    bool read_to_end_ = false; // of the log, since the start of this process
+    /// Offset of a peer that had caught up; empty until one has sent an update.
+    std::optional<std::uint64_t> peer_offset_;
     bool snapshot_append_pending_ = false;
     /// Offset of the latest known snapshot in the log.
     std::uint64_t last_snapshot_offset_ = 0;
--- a/Source/event_log.cpp
+++ b/Source/event_log.cpp
@@ -121,6 +121,7 @@
         {event_id::configuration_gap, severity::warning, "configuration_gap"},
         {event_id::order_received, severity::info, "order_received"},
         {event_id::order_settled, severity::info, "order_settled"},
+        {event_id::configuration_caught_up, severity::info, "configuration_caught_up"},
         {event_id::log_unreachable, severity::warning, "log_unreachable"},
         {event_id::log_reachable, severity::info, "log_reachable"},
         {event_id::list_unreachable, severity::warning, "list_unreachable"},
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -31,6 +31,7 @@
     configuration_gap = 1103,
     order_received = 1104,
     order_settled = 1105,
+    configuration_caught_up = 1106,
     log_unreachable = 1201,
     log_reachable = 1202,
     list_unreachable = 1203,
@@ -94,7 +95,7 @@
     std::string_view name;
 };
 
-inline constexpr std::size_t event_count = 64;
+inline constexpr std::size_t event_count = 65;
 
 /// Catalogue of all events, sorted by number.
 const std::array<event_description, event_count>& event_catalogue();
--- a/Source/problem_document.cpp
+++ b/Source/problem_document.cpp
@@ -34,6 +34,7 @@
     refusal_text{wire::key_in_progress, 409, 1,
                  "a request with this idempotency key was begun and its answer is not known"},
     refusal_text{wire::backend_down, 503, 1, "the backend server is not reachable"},
+    refusal_text{wire::configuration_behind, 503, 1, "the configuration is still being read"},
 };
 
 } // namespace
--- a/Tests/Entries/entry_shutdown_test.cpp
+++ b/Tests/Entries/entry_shutdown_test.cpp
@@ -151,6 +151,7 @@
         auto& configuration = core.add(
             std::make_unique<configuration_feed>(core, configuration_feed_options{.log = nowhere}));
         wire::configuration_update update;
+        update.set_caught_up(true);
         const nlohmann::json accounts{
             {"ann", {{"credential_sha256", sha256_hex("key")}, {"weight", 1}}}};
         const nlohmann::json services{{"orders", {{"model", false}, {"repeatable", false}}}};
