Stop runs that go on long after their deadline

Operators of similar systems: stalled streams that sent a byte now and then never ended, and slow but sound ones were cut. An agent's time-out starts anew with each byte, and a run that may not be repeated is left to its server when its entry gives up, so that a stalled server kept the slot for ever. An agent now stops a run 10 s after its deadline, 600 s if it may have effects, and frees the slot. The platform's entry ends each request at its deadline, whatever comes.

--- a/Source/agent_core.cpp
+++ b/Source/agent_core.cpp
@@ -674,6 +674,7 @@
     evict_expired_jobs(now);
     start_queued_jobs(now);
 }
+    stop_overdue_runs(now);
 
 // Evicts old jobs.  Jobs that must not run twice are kept until every message about them has
 // passed its deadline.
@@ -693,6 +694,25 @@
         return true;
     });
 }
+// Stops runs whose backend server goes on sending, however slowly, long after the deadline: nobody
+// waits for them, and each holds a slot.
+void agent_core::stop_overdue_runs(millis now)
+{
+    for (auto& [id, job] : jobs_) {
+        if (job.state != job_phase::running) {
+            continue;
+        }
+        const millis overtime =
+            job.repeat == wire::idempotent ? options_.max_overtime : options_.max_other_overtime;
+        if (now < job.deadline + overtime) {
+            continue;
+        }
+        ++metrics_.named("overdue_runs_stopped");
+        stop_run(id, job, now);
+        end_job(id, job, wire::failed_maybe_run, now);
+    }
+}
+
 
 wire::load_report agent_core::load_report() const
 {
--- a/Source/agent_core.h
+++ b/Source/agent_core.h
@@ -43,6 +43,10 @@
     agent_limits_options limits{};
     fair_queue_options queue{};
     crash_register_options crashes{};
+    // Time from the deadline of an idempotent run, and of any other, until the agent stops it
+    // itself.  The entry stops the former at the deadline, and the latter may still have effects.
+    millis max_overtime = 10000ms;
+    millis max_other_overtime = 600000ms;
     entry_tracker_options entries{};
 };
 
@@ -137,6 +141,7 @@
     void publish_crash_evidence(const std::vector<std::uint64_t>& suspects, millis now);
     std::uint64_t backend_incarnation() const;
     void end_job(attempt_id id, agent_job& job, wire::answer_end end, millis now);
+    void stop_overdue_runs(millis now);
     void record_tombstone(attempt_id id, millis now);
     void refuse_job(attempt_id id, wire::refusal reason, millis now);
     void send_verdict(const std::string& route, attempt_id id, wire::verdict_kind kind,
