Bound what the jobs of an agent hold together

The jobs of an agent now share 64 MB: large requests are refused as over_capacity, large answers are given up, small ones are served in any case. Failed answers let go of their bytes at once. Entries count the bodies of the requests that they have read and of the answers that they collect in the budget of the process.

Seen to fail on the code before: agent_of_engine.bounds_what_all_unacknowledged_ answers_hold_together, agent_of_engine.bounds_what_all_waiting_requests_hold_ together. The entry's part has no test of its own.

--- a/Source/agent_core.cpp
+++ b/Source/agent_core.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::size_t max_recorded_answer_bytes = 4096; // longer answers are not stored in the log
 constexpr unsigned first_redirection = 300;
+// Bodies of requests up to this size are accepted in any case.
+constexpr std::size_t least_body_bytes = 16384;
 
 // What the request has in common with others that may crash servers.
 std::vector<suspect> suspects_of(const wire::dispatch& request)
@@ -37,7 +39,7 @@
                           .expired = hooks_.key_expired}),
       queue_(options_.queue),
       crashes_({.counts_open_attempts = false, .evidence = options_.crashes}),
-      entry_tracker_(options_.entries)
+      memory_(options_.max_held_bytes), entry_tracker_(options_.entries)
 {
 }
 
@@ -113,7 +115,10 @@
     if (!backend_up_) {
         return wire::backend_down;
     }
-    if (jobs_.size() >= options_.max_jobs) {
+    if (jobs_.size() >= options_.max_jobs ||
+        message.body().size() >
+            memory_.allowance(std::min(least_body_bytes, options_.max_held_bytes),
+                              options_.max_held_bytes)) {
         return wire::over_capacity;
     }
     return wire::refusal_none;
@@ -169,6 +174,7 @@
     job.status = found->answer.status;
     job.content_type = found->answer.content_type;
     job.answer.append(found->answer.body);
+    job.count_memory(memory_);
     ++metrics_.named("answers_replayed");
     send_answer(id, job);
     return true;
@@ -197,6 +203,7 @@
         agent_job& job = jobs_[id];
         job.handle = handle;
         job.request = message;
+        job.count_memory(memory_);
         job.repeat = message.repeat();
         job.route = route;
         job.last_seen = now;
@@ -206,6 +213,7 @@
     }
     agent_job& job = jobs_[id];
     job.request = message;
+    job.count_memory(memory_);
     job.repeat = message.repeat();
     job.route = route;
     job.last_seen = now;
@@ -418,6 +426,7 @@
     job.route = route;
     job.last_seen = now;
     job.acknowledge(message.received());
+    job.count_memory(memory_);
     resend_state(id, job, now);
 }
 
@@ -452,6 +461,7 @@
     job.route = route;
     job.last_seen = now;
     job.acknowledge(message.received());
+    job.count_memory(memory_);
     if (job.sent < job.answer.length()) {
         send_answer(id, job);
     }
@@ -517,7 +527,10 @@
     }
     agent_job& job = found->second;
     job.append(data);
-    if (job.answer.kept() > options_.max_answer_bytes) {
+    job.count_memory(memory_);
+    if (job.answer.kept() >
+        memory_.allowance(std::min(options_.answer_window, options_.max_answer_bytes),
+                          options_.max_answer_bytes)) {
         hooks_.stop_run(id);
         on_run_end(id, run_outcome::too_large, now);
         return;
@@ -598,6 +611,10 @@
     }
     ++metrics_.named(end == wire::complete ? "runs_completed" : "runs_failed");
     job.request.Clear();
+    if (end != wire::complete) {
+        job.answer.drop(); // is not sent any more
+    }
+    job.count_memory(memory_);
     send_answer(id, job);
 }
 
@@ -657,9 +674,11 @@
             end_job(id, job, wire::failed_maybe_run, now);
         }
     }
+    stop_overdue_runs(now);
     for (auto& [id, job] : jobs_) {
         if (job.state == job_phase::finished && now - job.last_seen > options_.orphan_timeout) {
             job.acknowledge(job.answer.length()); // the entry is gone: frees the buffered answer
+            job.count_memory(memory_);
         }
     }
     std::vector<attempt_id> to_refuse;
@@ -674,26 +693,7 @@
     evict_expired_jobs(now);
     start_queued_jobs(now);
 }
-    stop_overdue_runs(now);
 
-// Evicts old jobs.  Jobs that must not run twice are kept until every message about them has
-// passed its deadline.
-void agent_core::evict_expired_jobs(millis now)
-{
-    const millis tombstone_retention = options_.max_deadline + options_.finished_retention;
-    std::erase_if(jobs_, [&](const auto& row) {
-        const auto& [id, job] = row;
-        if (job.state != job_phase::finished && job.state != job_phase::tombstone) {
-            return false;
-        }
-        const bool repeatable = job.state == job_phase::finished && job.repeat == wire::idempotent;
-        if (now - job.ended <= (repeatable ? options_.finished_retention : tombstone_retention)) {
-            return false;
-        }
-        entry_tracker_.record_eviction(id.entry_incarnation, id.sequence);
-        return true;
-    });
-}
 // Stops runs whose backend server goes on sending, however slowly, long after the deadline: nobody
 // waits for them, and each holds a slot.
 void agent_core::stop_overdue_runs(millis now)
@@ -713,6 +713,24 @@
     }
 }
 
+// Evicts old jobs.  Jobs that must not run twice are kept until every message about them has
+// passed its deadline.
+void agent_core::evict_expired_jobs(millis now)
+{
+    const millis tombstone_retention = options_.max_deadline + options_.finished_retention;
+    std::erase_if(jobs_, [&](const auto& row) {
+        const auto& [id, job] = row;
+        if (job.state != job_phase::finished && job.state != job_phase::tombstone) {
+            return false;
+        }
+        const bool repeatable = job.state == job_phase::finished && job.repeat == wire::idempotent;
+        if (now - job.ended <= (repeatable ? options_.finished_retention : tombstone_retention)) {
+            return false;
+        }
+        entry_tracker_.record_eviction(id.entry_incarnation, id.sequence);
+        return true;
+    });
+}
 
 wire::load_report agent_core::load_report() const
 {
@@ -750,6 +768,7 @@
             {"load_error", seen.error},
             {"load_samples", seen.samples},
             {"jobs", jobs_.size()},
+            {"held_bytes", memory_.used()},
             {"suspects", crashes().size()},
             {"configuration_offset", configuration_.offset()}};
 }
--- a/Source/agent_core.h
+++ b/Source/agent_core.h
@@ -32,21 +32,24 @@
     std::uint64_t incarnation = 0;
     std::size_t answer_window = 262144;     // unacknowledged bytes at which sending pauses
     std::size_t max_answer_bytes = 8388608; // maximum buffered bytes of one answer
-    std::size_t max_jobs = 65536;           // maximum jobs recorded, including tombstones
-    millis finished_retention = 60000ms;    // retention of finished idempotent jobs
+    // Bytes that the requests and the buffered answers of all jobs hold together, at which large
+    // requests are refused and large answers are given up.
+    std::size_t max_held_bytes = 67108864;
+    std::size_t max_jobs = 65536;        // maximum jobs recorded, including tombstones
+    millis finished_retention = 60000ms; // retention of finished idempotent jobs
     // Upper bound of request deadlines.  Tombstones and finished non-idempotent jobs are kept
     // longer than this, so that they outlive every message about them.
     millis max_deadline = 600000ms;
     // Silence of the entry after which its idempotent runs are stopped and its buffered answers
     // dropped.
     millis orphan_timeout = 10000ms;
-    agent_limits_options limits{};
-    fair_queue_options queue{};
-    crash_register_options crashes{};
     // Time from the deadline of an idempotent run, and of any other, until the agent stops it
     // itself.  The entry stops the former at the deadline, and the latter may still have effects.
     millis max_overtime = 10000ms;
     millis max_other_overtime = 600000ms;
+    agent_limits_options limits{};
+    fair_queue_options queue{};
+    crash_register_options crashes{};
     entry_tracker_options entries{};
 };
 
@@ -138,10 +141,10 @@
     void stop_run(attempt_id id, agent_job& job, millis now);
     void record_run_end(agent_job& job, attempt_end how, millis now);
     void start_queued_jobs(millis now);
+    void stop_overdue_runs(millis now);
     void publish_crash_evidence(const std::vector<std::uint64_t>& suspects, millis now);
     std::uint64_t backend_incarnation() const;
     void end_job(attempt_id id, agent_job& job, wire::answer_end end, millis now);
-    void stop_overdue_runs(millis now);
     void record_tombstone(attempt_id id, millis now);
     void refuse_job(attempt_id id, wire::refusal reason, millis now);
     void send_verdict(const std::string& route, attempt_id id, wire::verdict_kind kind,
@@ -160,6 +163,7 @@
     idempotency_guard idempotency_guard_;
     fair_queue queue_;
     crash_detector crashes_;
+    memory_budget memory_; // counts what the jobs hold
     job_table jobs_;
     entry_tracker entry_tracker_;
     std::map<std::uint64_t, attempt_id> queued_jobs_; // by handle in the fair queue
--- a/Source/agent_job.cpp
+++ b/Source/agent_job.cpp
@@ -68,6 +68,14 @@
     answer_tail.append(data);
 }
 
+void agent_job::count_memory(memory_budget& budget)
+{
+    if (!memory) {
+        memory.emplace(budget);
+    }
+    memory->set(request.body().size() + answer.kept());
+}
+
 bool agent_job::broken_off() const
 {
     return is_event_stream(content_type) && answer_tail.inside_event();
--- a/Source/agent_job.h
+++ b/Source/agent_job.h
@@ -2,11 +2,13 @@
 
 #include "answer_buffer.h"
 #include "event_stream_splitter.h"
+#include "memory_budget.h"
 #include "time_types.h"
 
 #include <wire.pb.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -65,6 +67,7 @@
     bool crashed = false;             // the backend server crashed during the run
     std::uint64_t handle = 0;         // identifies the job in the fair queue
     std::optional<std::uint64_t> run; // number of the open run in the crash detector
+    std::optional<memory_budget::share> memory; // of the request's body and the buffered answer
 
     /// Returns the answer parts to send now.  Stops sending when `window` unacknowledged bytes
     /// are in flight.
@@ -72,6 +75,8 @@
     void acknowledge(std::uint64_t received);
     /// Appends data that the backend server sent.
     void append(std::string_view data);
+    /// Counts in `budget` what the job holds now.
+    void count_memory(memory_budget& budget);
     /// Whether the answer is an event stream that ends inside an event.
     bool broken_off() const;
     /// True if the job has finished and the entry has acknowledged the whole answer.
--- a/Source/answer_buffer.h
+++ b/Source/answer_buffer.h
@@ -24,6 +24,13 @@
         start_offset_ = received;
     }
 
+    /// Drops all buffered bytes.
+    void drop()
+    {
+        start_offset_ = length();
+        data_ = std::string(); // `{}` would keep its memory
+    }
+
     /// Returns at most `max_bytes` bytes from `offset` on; `offset` must be within the buffer.
     std::string_view from(std::uint64_t offset, std::size_t max_bytes) const
     {
--- a/Source/caller_server.cpp
+++ b/Source/caller_server.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace cyclamen {
@@ -27,6 +28,9 @@
 // Bounds the wait for quiet connections, for a caller that sends a request byte by byte.
 constexpr millis max_quiet_wait = 5000ms;
 constexpr millis accept_retry_interval = 1ms;
+// Bodies of requests and of collected responses up to these sizes are held in any case.
+constexpr std::size_t least_request_bytes = 16384;
+constexpr std::size_t least_response_bytes = 65536;
 
 // Decides how a call of a plain service may be retried; `repeatable` is the service's setting,
 // `keyed` is true if the caller sent an idempotency key.
@@ -65,18 +69,23 @@
     event_stream_tail sent_tail;  // of the bytes sent, if the response is streamed
     std::size_t unsent_bytes = 0; // streamed bytes since the connection was last drained
     std::vector<http_header> headers;
-    std::uint64_t handle = 0; // of the dispatcher
+    std::uint64_t handle = 0;    // of the dispatcher
+    memory_budget::share memory; // of the bodies
     std::shared_ptr<std::set<request_context*>> registry;
 
-    explicit request_context(std::shared_ptr<std::set<request_context*>> contexts)
-        : registry(std::move(contexts))
+    request_context(exchange from, memory_budget& budget,
+                    std::shared_ptr<std::set<request_context*>> contexts)
+        : caller(std::move(from)), memory(budget), registry(std::move(contexts))
     {
         registry->insert(this);
+        count_memory();
     }
     request_context(const request_context&) = delete;
     request_context& operator=(const request_context&) = delete;
     ~request_context() { registry->erase(this); }
 
+    void count_memory() { memory.set(caller->body().size() + body.size() + unsent_bytes); }
+
     response_stage stage() const
     {
         if (!response_started) {
@@ -194,6 +203,11 @@
                       ready ? "ready\n" : "not ready\n");
         return;
     }
+    // Until then, the keys and services that are known may have been withdrawn.
+    if (!configuration_->caught_up()) {
+        send_problem(caller, problem_document::of(outcome::not_run, wire::configuration_behind));
+        return;
+    }
     const std::string account = account_of(caller);
     if (account.empty()) {
         send_problem(caller, problem_document::refused(
@@ -203,11 +217,6 @@
     }
     if (caller->path() == "/v1/models") {
         list_models(caller);
-    // Until then, the keys and services that are known may have been withdrawn.
-    if (!configuration_->caught_up()) {
-        send_problem(caller, problem_document::of(outcome::not_run, wire::configuration_behind));
-        return;
-    }
     }
     else if (caller->path() == "/v1/chat/completions") {
         on_chat_completion(caller, account);
@@ -304,6 +313,15 @@
                                                "send 1 to 255 printable characters, no spaces"));
         return;
     }
+    const std::string content_type = caller->header("Content-Type");
+    // Messages carry UTF-8 only.
+    if (!is_printable(rest) || !is_printable(caller->query()) || !is_printable(content_type)) {
+        send_problem(caller,
+                     problem_document::refused(400, "Malformed request", "malformed_head",
+                                               "encode bytes other than printable ASCII "
+                                               "characters in the path, and omit them in headers"));
+        return;
+    }
     entry_request request;
     wire::dispatch& message = request.message;
     message.set_account(account);
@@ -319,15 +337,6 @@
     }
     message.set_path(path);
     message.set_content_type(content_type);
-    const std::string content_type = caller->header("Content-Type");
-    // Messages carry UTF-8 only.
-    if (!is_printable(rest) || !is_printable(caller->query()) || !is_printable(content_type)) {
-        send_problem(caller,
-                     problem_document::refused(400, "Malformed request", "malformed_head",
-                                               "encode bytes other than printable ASCII "
-                                               "characters in the path, and omit them in headers"));
-        return;
-    }
     message.set_body(caller->body());
     // Requests with the same key rank the agents alike; others are spread at random.
     const std::uint64_t placement_hash = key ? hash_of(key->stored()) : core_.random();
@@ -351,8 +360,14 @@
     }
     request.deadline = core_.now() + *deadline;
     request.message.set_fingerprint(fingerprint_of(request.message));
-    auto context = std::make_shared<request_context>(open_requests_);
-    context->caller = caller;
+    const std::size_t most_request_bytes =
+        core_.memory().allowance(least_request_bytes, core_.memory().limit());
+    if (caller->body().size() > most_request_bytes) {
+        ++core_.metrics().named("requests_refused_for_memory");
+        send_problem(caller, problem_document::of(outcome::not_run, wire::over_capacity));
+        return;
+    }
+    auto context = std::make_shared<request_context>(caller, core_.memory(), open_requests_);
     context->stream = stream;
     const std::uint64_t handle = dispatcher_->submit(std::move(request), make_sink(context));
     context->handle = handle;
@@ -360,6 +375,7 @@
     caller->on_drained = [this, handle, weak_context = std::weak_ptr<request_context>(context)] {
         if (const auto open_context = weak_context.lock()) {
             open_context->unsent_bytes = 0;
+            open_context->count_memory();
             dispatcher_->on_backlog_drained(handle);
         }
     };
@@ -381,13 +397,16 @@
                     }
                 },
             .on_data =
-                [context, max_bytes](std::string_view data) {
+                [this, context, max_bytes](std::string_view data) {
                     if (!context->stream) {
+                        const std::size_t allowed = core_.memory().allowance(
+                            std::min(least_response_bytes, max_bytes), max_bytes);
                         context->too_large =
-                            context->too_large || context->body.size() + data.size() > max_bytes;
+                            context->too_large || context->body.size() + data.size() > allowed;
                         if (!context->too_large) {
                             context->body.append(data);
                         }
+                        context->count_memory();
                         return;
                     }
                     if (!context->response_started) {
@@ -397,6 +416,7 @@
                     }
                     context->unsent_bytes += data.size();
                     context->sent_tail.append(data);
+                    context->count_memory();
                     context->caller->write(data);
                 },
             .on_end =
@@ -410,6 +430,9 @@
                                       context->headers);
                     }
                     else {
+                        // A response that is too large shows that the request has run.
+                        const outcome result =
+                            end.result == outcome::answered ? outcome::unknown : end.result;
                         end_with_problem(caller, context->stage(),
                                          problem_document::of(result, end.reason));
                     }
@@ -426,6 +449,3 @@
 }
 
 } // namespace cyclamen
-                        // A response that is too large shows that the request has run.
-                        const outcome result =
-                            end.result == outcome::answered ? outcome::unknown : end.result;
--- a/Source/memory_budget.h
+++ b/Source/memory_budget.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <utility>
 
 namespace cyclamen {
 
@@ -32,6 +33,16 @@
         explicit share(memory_budget& budget) : budget_(&budget) {}
         share(const share&) = delete;
         share& operator=(const share&) = delete;
+        share(share&& other) noexcept
+            : budget_(other.budget_), bytes_(std::exchange(other.bytes_, 0))
+        {
+        }
+        share& operator=(share&& other) noexcept
+        {
+            std::swap(budget_, other.budget_);
+            std::swap(bytes_, other.bytes_);
+            return *this;
+        }
         ~share() { set(0); }
 
         /// Sets the number of bytes that the holder keeps now.
