List the peers in one of eight turns of digests, as documented

The list of peers was meant for one in eight turns, but the condition `sequence % 8 < peers` holds for every digest from eight peers on: among 68 entries each of 80 digests a second carried 67 addresses, over 1 KB of about 1.5 KB (estimated from the fields). It is in one of eight turns now, and in all for 1.5 s after the set of peers has changed, so that entries that join are known as soon as before.

Entries that read the logs send at least each half second: with more than 120 peers they counted as stopped between two digests, so that every entry read the logs. In-flight counts are kept until the next digest is due.

The tests of both are new calls of the options.

--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -141,6 +141,7 @@
             on_message(route, message);
         },
         socket_options());
+    peers_changed_at_ = core_.now();
     entries_changed.emit();
 }
 
@@ -310,7 +311,7 @@
     if (with_peers) {
         const millis now = core_.now();
         for (const auto& [address, row] : peers_) {
-            if (now - row.last_seen < options_.peer_timeout) {
+            if (now - row.last_seen < silence_limit()) {
                 body.add_peers(address);
             }
         }
@@ -323,13 +324,15 @@
 void peer_gossip::send_due_digests()
 {
     const millis now = core_.now();
-    const millis pause = interval();
+    const millis pause = options_.digest_interval(peers_.size(), must_read_logs());
+    const bool peers_changed = now - peers_changed_at_ < options_.peer_list_after_change;
     for (auto& [address, row] : peers_) {
         if (now - row.last_digest_sent < pause) {
             continue;
         }
         row.last_digest_sent = now;
-        wire::envelope message = digest(sequence_ % options_.peer_list_every < peers_.size());
+        wire::envelope message =
+            digest(peers_changed || options_.lists_peers(sequence_, peers_.size()));
         for (const prefix_locations::location& location : row.pending_locations) {
             wire::prompt_place& added = *message.mutable_relay_digest()->add_places();
             added.set_part(location.first);
@@ -393,7 +396,7 @@
     if (from.incarnation == digest.incarnation() && digest.sequence() <= from.sequence) {
         return;
     }
-    if (core_.now() - from.last_seen >= options_.peer_timeout) {
+    if (core_.now() - from.last_seen >= counts_lifetime()) {
         log_event(event_id::peer_heard, "peer={} entries={}", digest.address(), entries());
     }
     if (core_.now() - from.last_seen >= silence_limit() ||
@@ -639,8 +642,7 @@
     std::vector<std::string> expired;
     for (const auto& [address, row] : peers_) {
         const millis silence = now - row.last_seen;
-        if (silence >= options_.peer_timeout &&
-            state_->backends().set_peer_in_flight(address, {})) {
+        if (silence >= counts_lifetime() && state_->backends().set_peer_in_flight(address, {})) {
             log_event(event_id::peer_silent, "peer={} silent_ms={} entries={}", address,
                       silence.count(), entries());
         }
@@ -650,6 +652,7 @@
     }
     for (const std::string& address : expired) {
         peers_.erase(address);
+        peers_changed_at_ = core_.now();
         entries_changed.emit();
     }
 }
--- a/Source/peer_gossip.h
+++ b/Source/peer_gossip.h
@@ -38,11 +38,37 @@
         const auto counted = std::max<std::size_t>(peers, base_interval_peers);
         return interval * static_cast<millis::rep>(counted) / base_interval_peers;
     }
-    // Digests go to the peers in turn.  Of each sequence of this many digests, the first N include
-    // the list of peers, where N is the number of peers.
+    // Digests go to the peers in turn.  In one of this many turns they include the list of peers,
+    // which takes up most of a digest when there are many.
     unsigned peer_list_every = 8;
-    // Silence after which a peer's in-flight counts are discarded and its source is not relied on.
+    // They also include it for this long after the set of peers has changed.
+    millis peer_list_after_change = 1500ms;
+    // Longest interval between two digests of an entry that reads the logs to one peer: the others
+    // rely on them for news, and on entries that they hear within `peer_timeout`.
+    millis log_reader_interval = 500ms;
+
+    /// Whether digest number `sequence` belongs to a turn that includes the list of `peers` peers.
+    bool lists_peers(std::uint64_t sequence, std::size_t peers) const
+    {
+        return sequence % (std::uint64_t{peer_list_every} * std::max<std::size_t>(peers, 1)) <
+               peers;
+    }
+    /// Interval between two digests to one of `peers` peers, by an entry that reads the logs or
+    /// not.
+    millis digest_interval(std::size_t peers, bool reads_logs) const
+    {
+        const millis usual = interval_among(peers);
+        return reads_logs ? std::min(usual, log_reader_interval) : usual;
+    }
+    // Silence after which a peer's source is not relied on, and after which its in-flight counts
+    // are discarded unless its next digest is due later.
     millis peer_timeout = 1500ms;
+
+    /// Silence after which the in-flight counts of one of `peers` peers are discarded.
+    millis counts_lifetime(std::size_t peers) const
+    {
+        return std::max(peer_timeout, interval_among(peers) * 3 / 2);
+    }
     millis peer_retention = 60000ms; // silence after which a peer no longer counts as an entry
     // Number of entries that read the logs.  The others get the records from these, because a
     // call to the log service costs more than a message between entries.
@@ -136,6 +162,7 @@
     std::size_t log_readers_before() const;
     void sweep();
     millis interval() const;
+    millis counts_lifetime() const { return options_.counts_lifetime(peers_.size()); }
     millis silence_limit() const;
 
     kernel& core_;
@@ -153,6 +180,7 @@
     std::vector<millis> lost_requested_at_;
     std::vector<std::set<std::uint64_t>> lost_received_;
     std::uint64_t sequence_ = 0;
+    millis peers_changed_at_{0};
     kernel::timer send_timer_;
     kernel::timer sweep_timer_;
 };
--- a/Tests/Relay/peer_gossip_test.cpp
+++ b/Tests/Relay/peer_gossip_test.cpp
@@ -321,6 +321,32 @@
     EXPECT_TRUE(run_until([&] { return archived > 0; })) << "to the peer that was named";
 }
 
+// many entries: guards against digests that all carry the list of peers, three quarters of their
+// bytes among 68 entries, and against a peer that never gets it.
+TEST(digests, carry_the_list_of_peers_to_each_peer_in_one_of_eight_turns)
+{
+    const peer_gossip_options options;
+    for (const std::size_t peers : {1U, 4U, 24U, 67U, 299U, 409U}) {
+        std::vector<unsigned> lists(peers, 0);
+        for (std::uint64_t sequence = 0; sequence < 80 * peers; ++sequence) {
+            lists[sequence % peers] += options.lists_peers(sequence, peers) ? 1 : 0;
+        }
+        EXPECT_EQ(lists, std::vector<unsigned>(peers, 10)) << peers;
+    }
+}
+
+// many entries: guards against log readers that count as stopped between two of their digests, so
+// that all entries read the logs.
+TEST(digests, of_log_readers_come_within_the_time_in_which_they_are_relied_on)
+{
+    const peer_gossip_options options;
+    for (const std::size_t peers : {1U, 67U, 120U, 299U, 409U}) {
+        EXPECT_LE(2 * options.digest_interval(peers, true), options.peer_timeout) << peers;
+        EXPECT_EQ(options.digest_interval(peers, false), options.interval_among(peers)) << peers;
+        EXPECT_GT(options.counts_lifetime(peers), options.interval_among(peers)) << peers;
+    }
+}
+
 // callers, capped: guards against load that stays uneven because, in a fleet of many entries, each
 // hears too late where the others send their requests.  The load bound is judged over five seconds.
 TEST(gossip_interval, bounds_the_age_and_the_number_of_digests)
