Send no request whose caller has left behind a busy event loop

The close had arrived as well, but the event loop hands it over in a later iteration than the request, and a timer that retries a choice runs before it. Before each attempt the entry now asks the socket whether the caller has closed its side, one system call an attempt.

Ruled out: the deadline, which counts from when the entry reads the request and had not passed; a cut (none on that machine).

--- a/Source/caller_connection.cpp
+++ b/Source/caller_connection.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -431,6 +432,20 @@
     hooks_.on_closed(*this);
 }
 
+bool caller_connection::close_if_caller_left()
+{
+    if (channel_ == nullptr) {
+        return true;
+    }
+    constexpr short left = POLLRDHUP | POLLHUP | POLLERR;
+    pollfd status{.fd = bufferevent_getfd(channel_), .events = POLLRDHUP, .revents = 0};
+    if (poll(&status, 1, 0) <= 0 || (status.revents & left) == 0) {
+        return false;
+    }
+    on_caller_disconnected();
+    return true;
+}
+
 void caller_connection::on_caller_disconnected()
 {
     if (state_ == stage::closed) {
--- a/Source/caller_connection.h
+++ b/Source/caller_connection.h
@@ -88,6 +88,10 @@
     /// each later response.
     void close_when_idle(millis idle_time);
 
+    /// Closes the connection if the caller has closed its side, which the event loop may not have
+    /// handled yet after a busy period, and calls `on_disconnected`.  Returns whether it has.
+    bool close_if_caller_left();
+
     /// Called once if the caller disconnects before its response is complete.
     std::function<void()> on_disconnected;
     /// Called when all written bytes have been passed to the socket.
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -205,7 +205,7 @@
 
 void relay_exchange::attempt()
 {
-    if (refuse_quarantined()) {
+    if (caller_->close_if_caller_left() || refuse_quarantined()) {
         return;
     }
     if (service_.empty()) {
--- a/Tests/Relay/relay_paused_loop_test.cpp
+++ b/Tests/Relay/relay_paused_loop_test.cpp
@@ -291,3 +291,19 @@
     EXPECT_EQ(response->end, http_call_result::complete);
     EXPECT_EQ(response->body, "ready");
 }
+
+// node_slow, burst: guards against requests that reach a server long after their callers have left:
+// the close had arrived, but was handled after the request.
+TEST_F(relay_paused_loop, sends_no_request_whose_caller_has_left_meanwhile)
+{
+    scripted_caller& first = send_request(get("/view/"));
+    shop.respond(0, response_of("q1", "x"));
+    expect_status(first, 200);
+    scripted_caller& caller = add_idle_caller();
+    caller.send(get("/view/"));
+    caller.close();
+    block_loop(50ms);
+    fleet.run_for(200ms);
+    EXPECT_EQ(shop.requests(), 1U);
+    EXPECT_EQ(fleet.core().metrics().named("requests_taken"), 3U);
+}
