--- a/Tests/Kernel/contained_errors_test.cpp
+++ b/Tests/Kernel/contained_errors_test.cpp
@@ -37,7 +37,7 @@
     }
 
     // Starts an HTTP server on a free port.
-    void serve(http_server::handler on_request)
+    void serve(const http_server::handler& on_request)
     {
         constexpr std::uint16_t first_port = 21400;
         constexpr std::uint16_t last_port = 21500;
