Send large records in pieces, from entries with fast links first

Cause: three entries with the lowest addresses read the store, whatever their links, and answered each request with the whole configuration.

Change: records are exchanged by record_exchange, taken out of peer_gossip. Batches refer to values from 16 KB on; value_transfer fetches their zlib-compressed form in pieces of 8 KB, from sources that bound their rate to half of their link and name others when busy. Entries with faster links read the logs first. While a peer shows later orders, unknown routes and keys get 503, not 404 or 401. Entries of the former build get whole values as before.

--- a/Source/event_log.cpp
+++ b/Source/event_log.cpp
@@ -176,6 +176,7 @@
         {event_id::default_version_set, severity::info, "default_version_set"},
         {event_id::server_doubted, severity::info, "server_doubted"},
         {event_id::expired_entries_released, severity::info, "expired_entries_released"},
+        {event_id::value_fetched, severity::info, "value_fetched"},
     }};
     return catalogue;
 }
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -86,6 +86,7 @@
     default_version_set = 1822,
     server_doubted = 1823,
     expired_entries_released = 1824,
+    value_fetched = 1825,
 };
 
 /// Number, severity and name of an event.
@@ -95,7 +96,7 @@
     std::string_view name;
 };
 
-inline constexpr std::size_t event_count = 65;
+inline constexpr std::size_t event_count = 66;
 
 /// Catalogue of all events, sorted by number.
 const std::array<event_description, event_count>& event_catalogue();
--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -34,29 +34,8 @@
 constexpr std::size_t max_leaving_reports = 256; // the same of servers that leave
 constexpr double limit_scale = 1000;             // limits are sent in thousandths
 constexpr millis send_check_interval = 50ms;
-// Interval between two requests for the records of a log that a restore has lost.
-constexpr millis lost_request_interval = 500ms;
-constexpr std::size_t max_lost_fingerprints = 64;
 constexpr millis sweep_interval = 500ms;
 
-using wire_restores = google::protobuf::RepeatedPtrField<wire::log_restore>;
-
-void add_restores(const record_mirror& mirror, wire_restores& to)
-{
-    for (const auto& [era, begin] : mirror.restores().begins()) {
-        wire::log_restore& row = *to.Add();
-        row.set_era(era);
-        row.set_begin(begin);
-    }
-}
-
-void take_restores(record_mirror& mirror, const wire_restores& from)
-{
-    for (const wire::log_restore& row : from) {
-        mirror.add_restore({.era = row.era(), .offset = row.begin()});
-    }
-}
-
 message_socket_options socket_options()
 {
     return {.high_water_mark = max_queued_digests, .retransmit_timeout_ms = retransmit_timeout_ms};
@@ -71,16 +50,15 @@
 } // namespace
 
 peer_gossip::peer_gossip(kernel& core, peer_gossip_options options)
-    : core_(core), options_(std::move(options)), own_hash_(hash_of(options_.listen.text()))
+    : core_(core), options_(std::move(options)), own_hash_(hash_of(options_.listen.text())),
+      zone_hash_(hash_of(options_.zone) & UINT32_MAX)
 {
 }
 
 void peer_gossip::start()
 {
     state_ = &core_.find<relay_state>("knowledge");
-    behind_since_.resize(mirrors_.size());
-    lost_requested_at_.resize(mirrors_.size(), core_.now() - lost_request_interval);
-    lost_received_.resize(mirrors_.size());
+    start_record_exchange();
     listen_socket_ = message_socket::bind(
         core_.loop(), core_.metrics(), options_.listen.endpoint(),
         [this](const std::string& route, const wire::envelope& message) {
@@ -113,6 +91,67 @@
     sweep_timer_ = core_.every(sweep_interval, [this] { sweep(); });
 }
 
+void peer_gossip::start_record_exchange()
+{
+    record_exchange_options options = options_.records;
+    options.request_timeout = options_.peer_timeout;
+    options.transfer.link_mbps = options_.link_mbps;
+    records_ = std::make_unique<record_exchange>(
+        core_, *state_, options,
+        record_exchange::hooks{
+            .send =
+                [this](const std::string& to, wire::envelope message) {
+                    const auto found = peers_.find(to);
+                    if (found != peers_.end()) {
+                        found->second.socket->send({}, std::move(message));
+                    }
+                },
+            .reply =
+                [this](const std::string& route, wire::envelope message) {
+                    listen_socket_->send(route, std::move(message));
+                },
+            .holders = [this](std::size_t log,
+                              log_position at_least) { return holders_of(log, at_least); },
+            .must_read_logs = [this] { return must_read_logs(); },
+            .source_answers = [this] { return source_answers && source_answers(); }});
+    records_->set_mirrors(mirrors_);
+    state_->newer_orders_known = [this] { return records_->newer_orders_known(); };
+}
+
+// Entries of the same availability zone first, in an order that differs between entries, so that
+// they don't all ask the same one.
+std::vector<std::string> peer_gossip::holders_of(std::size_t log, log_position at_least) const
+{
+    struct candidate {
+        bool other_zone = false;
+        std::uint64_t order = 0;
+        const std::string* address = nullptr;
+
+        auto operator<=>(const candidate&) const = default;
+    };
+    std::vector<candidate> candidates;
+    for (const auto& [address, row] : peers_) {
+        const bool heard = core_.now() - row.last_seen < silence_limit();
+        if (!heard || row.link_mbps == 0 || log >= row.positions.size() ||
+            row.positions[log] < at_least) {
+            continue;
+        }
+        candidates.push_back({.other_zone = row.zone != zone_hash_,
+                              .order = combine_hashes(own_hash_, row.hash),
+                              .address = &address});
+    }
+    std::sort(candidates.begin(), candidates.end());
+    constexpr std::size_t most = 8;
+    std::vector<std::string> holders;
+    for (const candidate& each : candidates) {
+        if (holders.size() == most) {
+            break;
+        }
+        holders.push_back(*each.address);
+    }
+    return holders;
+}
+
 void peer_gossip::add_peer_addresses(const std::vector<net_address>& addresses)
 {
     for (const net_address& address : addresses) {
@@ -137,8 +176,8 @@
     added.last_seen = core_.now() - options_.peer_timeout;
     added.socket = message_socket::connect(
         core_.loop(), core_.metrics(), parsed->endpoint(), options_.listen.text(),
-        [this](const std::string& route, const wire::envelope& message) {
-            on_message(route, message);
+        [this, address](const std::string& /*route*/, const wire::envelope& message) {
+            on_answer(address, message);
         },
         socket_options());
     peers_changed_at_ = core_.now();
@@ -151,16 +190,22 @@
            core_.now() - row.last_seen < options_.peer_timeout;
 }
 
+// Entries with faster links come first, as configurations of hundreds of kilobytes can follow one
+// another several times a second; among equals, the lower address.
 std::size_t peer_gossip::log_readers_before() const
 {
     const std::string own = options_.listen.text();
+    const auto own_link = static_cast<std::uint32_t>(options_.link_mbps);
     return static_cast<std::size_t>(
-        std::count_if(peers_.begin(), peers_.end(),
-                      [&](const auto& row) { return row.first < own && reads_logs(row.second); }));
+        std::count_if(peers_.begin(), peers_.end(), [&](const auto& row) {
+            const std::uint32_t link = row.second.link_mbps;
+            return (link > own_link || (link == own_link && row.first < own)) &&
+                   reads_logs(row.second);
+        }));
 }
 
-// An entry reads the logs unless the log service answers at least `log_readers` peers with lower
-// addresses.
+// An entry reads the logs unless the log service answers at least `log_readers` peers that come
+// before it.
 bool peer_gossip::must_read_logs() const
 {
     return log_readers_before() < options_.log_readers;
@@ -247,13 +292,9 @@
     body.set_address(options_.listen.text());
     body.set_incarnation(core_.incarnation());
     body.set_sequence(++sequence_);
-    for (const record_mirror* mirror : mirrors_) {
-        body.add_positions(mirror->position().value_or(0));
-        wire::log_state& state = *body.add_logs();
-        state.set_era(mirror->era());
-        state.set_lost(mirror->lost_fingerprint());
-        add_restores(*mirror, *state.mutable_restores());
-    }
+    records_->add_positions(body);
+    body.set_link_mbps(static_cast<std::uint32_t>(options_.link_mbps));
+    body.set_zone(static_cast<std::uint32_t>(zone_hash_));
     body.set_source_answers(source_answers && source_answers());
     body.set_source_age_ms(static_cast<std::uint32_t>(
         std::clamp<std::int64_t>(state_->source_age().count(), 0, UINT32_MAX)));
@@ -359,6 +400,13 @@
     }
 }
 
+// Handles a message on the connection to the peer `address`: what it answers comes there.
+void peer_gossip::on_answer(const std::string& address, const wire::envelope& message)
+{
+    const bool names_peer = message.has_record_batch() || message.has_value_piece();
+    on_message(names_peer ? address : std::string(), message);
+}
+
 void peer_gossip::on_message(const std::string& route, const wire::envelope& message)
 {
     switch (message.body_case()) {
@@ -366,10 +414,16 @@
         handle_digest(message.relay_digest());
         return;
     case wire::envelope::kRecordRequest:
-        handle_record_request(route, message.record_request());
+        records_->handle_record_request(route, message.record_request());
         return;
     case wire::envelope::kRecordBatch:
-        apply_record_batch(message.record_batch());
+        records_->apply_record_batch(route, message.record_batch());
+        return;
+    case wire::envelope::kValueRequest:
+        records_->handle_value_request(route, message.value_request());
+        return;
+    case wire::envelope::kValuePiece:
+        records_->handle_value_piece(route, message.value_piece());
         return;
     case wire::envelope::kCrashEvidence:
         state_->merge_crash_evidence(message.crash_evidence());
@@ -411,7 +465,13 @@
     for (const wire::prompt_place& location : digest.places()) {
         state_->add_location_from_peer({location.part(), location.backend()});
     }
-    request_missing_records(digest.address(), digest);
+    from.link_mbps = digest.link_mbps();
+    from.zone = digest.zone();
+    from.positions.clear();
+    for (int log = 0; log < std::min(digest.positions_size(), digest.logs_size()); ++log) {
+        from.positions.push_back({.era = digest.logs(log).era(), .offset = digest.positions(log)});
+    }
+    from.earlier_era = !records_->on_digest(digest);
 }
 
 void peer_gossip::apply_counts(const std::string& address, const wire::relay_digest& digest)
@@ -445,200 +505,10 @@
     state_->backends().set_peer_outcomes(address, outcomes, core_.now());
 }
 
-// Compares the peer's log positions with this entry's own.  An entry that does not read the logs
-// requests missing records at once, a log reader after `record_request_delay`, and an entry without
-// a listing after `listing_request_delay`.
-void peer_gossip::request_missing_records(const std::string& address,
-                                          const wire::relay_digest& digest)
-{
-    peer& from = peers_.at(address);
-    std::vector<peer_log> logs(mirrors_.size());
-    bool up_to_date = static_cast<std::size_t>(digest.positions_size()) == mirrors_.size();
-    bool knows_all = up_to_date; // that this entry knows
-    from.earlier_era = false;
-    for (std::size_t log = 0; log < mirrors_.size(); ++log) {
-        const int index = static_cast<int>(log);
-        if (index < digest.positions_size()) {
-            logs[log].position = digest.positions(index);
-        }
-        if (index < digest.logs_size()) {
-            logs[log].era = digest.logs(index).era();
-            logs[log].lost = digest.logs(index).lost();
-            take_restores(*mirrors_[log], digest.logs(index).restores());
-        }
-        up_to_date = up_to_date && mirrors_[log]->era() == logs[log].era &&
-                     mirrors_[log]->position().value_or(0) >= logs[log].position;
-        knows_all = knows_all && mirrors_[log]->era() == logs[log].era &&
-                    mirrors_[log]->position().value_or(0) <= logs[log].position;
-        from.earlier_era = from.earlier_era || logs[log].era < mirrors_[log]->era();
-    }
-    if (up_to_date && digest.source_answers()) {
-        state_->confirmed_by_peer(millis(digest.source_age_ms()));
-    }
-    // A digest that was sent before a cut and arrives after it says nothing about that time.
-    if (knows_all && digest.source_answers()) {
-        state_->peer_source_steady(millis(digest.source_steady_ms()));
-    }
-    const millis now = core_.now();
-    for (std::size_t log = 0; log < mirrors_.size(); ++log) {
-        const record_mirror& mirror = *mirrors_[log];
-        const std::uint64_t own = mirror.position().value_or(0);
-        const bool later_era = logs[log].era > mirror.era();
-        if (!later_era && (logs[log].era < mirror.era() || logs[log].position <= own)) {
-            request_lost_records(from, log, logs[log]);
-            continue;
-        }
-        std::optional<millis>& since = behind_since_[log];
-        const bool listed = mirror.position().has_value();
-        if (!listed && source_answers && source_answers()) {
-            continue;
-        }
-        const bool first = !since && listed && !must_read_logs();
-        since = since.value_or(now);
-        if (!first && now - *since < (listed ? options_.record_request_delay
-                                             : options_.listing_request_delay)) {
-            continue;
-        }
-        since = now;
-        request_records(from, log, mirror.era(), own);
-    }
-}
-
-// Requests records that this entry's log has lost by a restore and that the peer may know: those
-// that it keeps, or those of an earlier era if it has seen more of that.
-void peer_gossip::request_lost_records(peer& from, std::size_t log, const peer_log& theirs)
-{
-    const record_mirror& mirror = *mirrors_[log];
-    const millis now = core_.now();
-    if (!mirror.accepts_lost() || !mirror.position() ||
-        now - lost_requested_at_[log] < lost_request_interval) {
-        return;
-    }
-    if (theirs.era == mirror.era()) {
-        if (theirs.lost == 0 || theirs.lost == mirror.lost_fingerprint() ||
-            lost_received_[log].contains(theirs.lost)) {
-            return;
-        }
-        lost_requested_at_[log] = now;
-        request_records(from, log, theirs.era, theirs.position);
-        return;
-    }
-    const std::uint64_t begin = mirror.restores().reused_from(theirs.era).value_or(0);
-    const std::uint64_t known = std::max(begin, mirror.end_of_era(theirs.era));
-    if (theirs.position > known) {
-        lost_requested_at_[log] = now;
-        request_records(from, log, mirror.era(), known);
-    }
-}
-
-void peer_gossip::request_records(peer& from, std::size_t log, std::uint64_t era,
-                                  std::uint64_t offset)
-{
-    wire::envelope message;
-    wire::record_request& request = *message.mutable_record_request();
-    request.set_log(static_cast<std::uint32_t>(log));
-    request.set_era(era);
-    request.set_from(offset);
-    from.socket->send({}, std::move(message));
-}
-
-void peer_gossip::handle_record_request(const std::string& route,
-                                        const wire::record_request& request)
-{
-    if (request.log() >= mirrors_.size()) {
-        return;
-    }
-    const record_mirror& mirror = *mirrors_[request.log()];
-    if (!mirror.position()) {
-        return;
-    }
-    wire::envelope message;
-    wire::record_batch& batch = *message.mutable_record_batch();
-    batch.set_log(request.log());
-    batch.set_end(*mirror.position());
-    batch.set_era(mirror.era());
-    batch.set_lost(mirror.lost_fingerprint());
-    add_restores(mirror, *batch.mutable_restores());
-    // A requester in a later era wants only what its log has lost.
-    const bool listing =
-        request.era() < mirror.era() ||
-        (request.era() == mirror.era() && request.from() < mirror.tombstones_complete_from());
-    batch.set_listing(listing);
-    for (const mirrored_record& record :
-         listing ? mirror.listing() : mirror.records_since(request.from())) {
-        wire::keyed_record& row = *batch.add_records();
-        row.set_key(record.key);
-        row.set_offset(record.offset);
-        row.set_era(record.era);
-        if (record.value) {
-            row.set_value(*record.value);
-        }
-    }
-    listen_socket_->send(route, std::move(message));
-}
-
-void peer_gossip::apply_record_batch(const wire::record_batch& batch)
-{
-    if (batch.log() >= mirrors_.size()) {
-        return;
-    }
-    record_mirror& mirror = *mirrors_[batch.log()];
-    log_event(event_id::records_from_peer,
-              "log={} era={} records={} end={} before={} era_before={}", batch.log(), batch.era(),
-              batch.records_size(), batch.end(), mirror.position().value_or(0), mirror.era());
-    if (batch.era() > mirror.era() && !batch.listing()) {
-        return; // it does not say what else the log of that era holds
-    }
-    mirror.enter_era(batch.era());
-    if (batch.era() == mirror.era()) {
-        mirror.note_end(batch.end());
-    }
-    take_restores(mirror, batch.restores());
-    std::vector<mirrored_record> records;
-    for (const wire::keyed_record& row : batch.records()) {
-        records.push_back(
-            {.key = row.key(),
-             .value = row.has_value() ? std::optional<std::string>(row.value()) : std::nullopt,
-             .offset = row.offset(),
-             .era = row.era()});
-    }
-    std::set<std::uint64_t>& received = lost_received_[batch.log()];
-    if (received.size() >= max_lost_fingerprints) {
-        received.clear();
-    }
-    received.insert(batch.lost());
-    const bool same_era = batch.era() == mirror.era();
-    if (same_era && batch.listing()) {
-        mirror.apply_listing(std::move(records), batch.end());
-    }
-    else {
-        for (mirrored_record& record : records) {
-            mirror.apply(std::move(record));
-        }
-    }
-    if (!same_era) {
-        return; // the peer has not noticed the restore yet
-    }
-    mirror.advance(batch.end());
-    behind_since_[batch.log()].reset();
-    const bool all =
-        std::all_of(mirrors_.begin(), mirrors_.end(), [](const record_mirror* each_mirror) {
-            return each_mirror->position().has_value();
-        });
-    if (all) {
-        state_->mark_complete();
-    }
-}
-
 void peer_gossip::sweep()
 {
     const millis now = core_.now();
-    for (std::size_t log = 0; log < mirrors_.size(); ++log) {
-        const std::optional<millis>& since = behind_since_[log];
-        if (since && now - *since > options_.peer_timeout) {
-            behind_since_[log].reset();
-        }
-    }
+    records_->sweep();
     std::vector<std::string> expired;
     for (const auto& [address, row] : peers_) {
         const millis silence = now - row.last_seen;
--- a/Source/peer_gossip.h
+++ b/Source/peer_gossip.h
@@ -4,6 +4,7 @@
 #include "message_socket.h"
 #include "net_address.h"
 #include "prefix_locations.h"
+#include "record_exchange.h"
 #include "record_mirror.h"
 #include "service.h"
 
@@ -15,7 +16,6 @@
 #include <cstddef>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -73,12 +73,9 @@
     // Number of entries that read the logs.  The others get the records from these, because a
     // call to the log service costs more than a message between entries.
     unsigned log_readers = 3;
-    // Time that a log reader lags behind a peer before it requests records from that peer: the
-    // log itself usually answers sooner.  Also the interval between repeated requests.
-    millis record_request_delay = 300ms;
-    // The same delay for an entry that has no listing yet.  A complete listing is large, so it is
-    // requested from a peer only while this entry's own source does not answer.
-    millis listing_request_delay = 1000ms;
+    double link_mbps = 0; // rate of this entry's link; 0 if unknown
+    std::string zone;     // availability zone of this entry
+    record_exchange_options records;
 };
 
 /// Gossips with the other entries about state of which each sees only a part: log positions,
@@ -132,31 +129,27 @@
         std::uint64_t incarnation = 0; // of the peer's process, from its latest digest
         std::uint64_t sequence = 0;    // of the latest digest received from the peer
         millis last_seen{0};
-        bool source_available = false; // whether the log service answers the peer's own reads
-        bool earlier_era = false;      // a log of the peer is of an earlier era than here
-        std::uint64_t hash = 0;        // of the address
-        millis last_digest_sent{0};    // time of the last digest to this peer
+        bool source_available = false;       // whether the log service answers the peer's own reads
+        bool earlier_era = false;            // a log of the peer is of an earlier era than here
+        std::uint64_t hash = 0;              // of the address
+        std::uint32_t link_mbps = 0;         // 0 if it sends no pieces of values
+        std::uint32_t zone = 0;              // hash of its availability zone
+        std::vector<log_position> positions; // by log, from its latest digest
+        millis last_digest_sent{0};          // time of the last digest to this peer
         std::size_t digests_sent = 0;
         std::vector<prefix_locations::location> pending_locations; // to send with the next digest
     };
 
+    void start_record_exchange();
+    std::vector<std::string> holders_of(std::size_t log, log_position at_least) const;
     void add_peer(const std::string& address);
     void send_due_digests();
     wire::envelope digest(bool with_peers);
     void send_crash_evidence(peer& to, std::size_t start, std::size_t count);
     void on_message(const std::string& route, const wire::envelope& message);
+    void on_answer(const std::string& address, const wire::envelope& message);
     void handle_digest(const wire::relay_digest& digest);
     void apply_counts(const std::string& address, const wire::relay_digest& digest);
-    struct peer_log {
-        std::uint64_t era = 0;
-        std::uint64_t position = 0;
-        std::uint64_t lost = 0; // fingerprint of its lost records
-    };
-    void request_missing_records(const std::string& address, const wire::relay_digest& digest);
-    void request_lost_records(peer& from, std::size_t log, const peer_log& theirs);
-    void request_records(peer& from, std::size_t log, std::uint64_t era, std::uint64_t offset);
-    void handle_record_request(const std::string& route, const wire::record_request& request);
-    void apply_record_batch(const wire::record_batch& batch);
     void handle_origins(const std::string& route, const wire::stream_origins& message);
     bool reads_logs(const peer& row) const;
     std::size_t log_readers_before() const;
@@ -167,18 +160,13 @@
 
     kernel& core_;
     peer_gossip_options options_;
-    std::uint64_t own_hash_; // of the own address
+    std::uint64_t own_hash_;  // of the own address
+    std::uint64_t zone_hash_; // of the own availability zone
     relay_state* state_ = nullptr;
     std::unique_ptr<message_socket> listen_socket_;
     std::map<std::string, peer> peers_; // by address
     std::vector<record_mirror*> mirrors_;
-    // For each mirror, the time at which it began to lag behind a peer, or at which records were
-    // last requested after that.  Unset for a mirror that does not lag.
-    std::vector<std::optional<millis>> behind_since_;
-    // For each mirror, when lost records were last requested, and the fingerprints of those that
-    // have come.
-    std::vector<millis> lost_requested_at_;
-    std::vector<std::set<std::uint64_t>> lost_received_;
+    std::unique_ptr<record_exchange> records_;
     std::uint64_t sequence_ = 0;
     millis peers_changed_at_{0};
     kernel::timer send_timer_;
--- a/Source/relay_state.h
+++ b/Source/relay_state.h
@@ -176,7 +176,12 @@
     std::shared_ptr<const route_table> routes() const { return routes_; }
     backend_table& backends() { return backends_; }
     bool is_complete() const { return complete_; }
-    bool fresh() const { return complete_ && source_age() < options_.fresh_for; }
+    /// Whether an unknown route or key is unknown to operators, too, as far as this entry can tell.
+    bool fresh() const
+    {
+        return complete_ && source_age() < options_.fresh_for &&
+               !(newer_orders_known && newer_orders_known());
+    }
     /// Time since a source last confirmed the state, or since the start if none has.
     millis source_age() const { return core_.now() - confirmed_at_; }
 
@@ -190,6 +195,8 @@
     sigc::signal<void(std::uint64_t hash, bool quarantined)> quarantine_changed;
     /// Returns whether the source of at least one peer answers; set by peer_gossip.
     std::function<bool()> peer_source_available;
+    /// Returns whether a peer has later orders of operators than this entry; set by peer_gossip.
+    std::function<bool()> newer_orders_known;
 
 private:
     void publish(const std::vector<std::uint64_t>& suspects,
--- a/Tests/Relay/peer_gossip_test.cpp
+++ b/Tests/Relay/peer_gossip_test.cpp
@@ -321,6 +321,55 @@
     EXPECT_TRUE(run_until([&] { return archived > 0; })) << "to the peer that was named";
 }
 
+// Guards against a configuration on a thin link that holds up what else was ordered, and against an
+// entry that refuses by an older configuration although it knows that there is a newer one.
+TEST_F(two_entries, fetch_a_large_record_in_pieces_and_apply_small_ones_at_once)
+{
+    std::string document; // that does not compress well
+    for (std::uint64_t number = 0; number < 4000; ++number) {
+        document += fmt::format("{:016x}", hash_of("configuration", number));
+    }
+    start(0);
+    start(1);
+    entries[0]->orders.apply_listing({}, 0);
+    entries[1]->orders.apply_listing({}, 0);
+    entries[1]->state.mark_complete();
+    ASSERT_TRUE(run_until([&] { return entries[1]->state.fresh(); }));
+    entries[0]->orders.apply({.key = "config", .value = document, .offset = 0});
+    entries[0]->orders.apply({.key = "evacuate/north", .value = "{}", .offset = 1});
+    entries[0]->orders.advance(2);
+    bool refused_for_good = false;
+    ASSERT_TRUE(run_until([&] {
+        const bool small_is_here = entries[1]->orders.find("evacuate/north") != nullptr;
+        const bool large_is_here = entries[1]->orders.find("config") != nullptr;
+        refused_for_good =
+            refused_for_good || (small_is_here && !large_is_here && entries[1]->state.fresh());
+        return large_is_here;
+    }));
+    EXPECT_FALSE(refused_for_good);
+    EXPECT_EQ(entries[1]->orders.find("config")->value, document);
+    EXPECT_EQ(entries[1]->orders.position(), 2U);
+    EXPECT_TRUE(entries[1]->state.fresh());
+    EXPECT_EQ(entries[1]->core.metrics().named("values_fetched"), 1U);
+}
+
+// Guards against entries on thin links that read the store for those with fast ones.
+TEST_F(two_entries, let_the_faster_link_read_the_logs_first)
+{
+    for (std::size_t at = 0; at < entries.size(); ++at) {
+        const bool is_lower = addresses.at(at).text() < addresses.at(1 - at).text();
+        entries.at(at) = std::make_unique<gossiping_entry>(
+            addresses.at(at), addresses.at(1 - at),
+            peer_gossip_options{.log_readers = 1, .link_mbps = is_lower ? 10.0 : 200.0});
+        entries.at(at)->gossip.source_answers = [] { return true; };
+    }
+    const std::size_t lower = addresses[0].text() < addresses[1].text() ? 0 : 1;
+    EXPECT_TRUE(run_until([&] {
+        return !entries.at(lower)->gossip.must_read_logs() &&
+               entries.at(1 - lower)->gossip.must_read_logs();
+    }));
+}
+
 // many entries: guards against digests that all carry the list of peers, three quarters of their
 // bytes among 68 entries, and against a peer that never gets it.
 TEST(digests, carry_the_list_of_peers_to_each_peer_in_one_of_eight_turns)
--- a/Utilities/build.sh
+++ b/Utilities/build.sh
@@ -9,6 +9,6 @@
     libsigc++-3.0-dev libevent-dev libzmq3-dev cppzmq-dev libprotobuf-dev libtclap-dev \
     libfmt-dev libgtest-dev libgmock-dev librapidcheck-dev libbenchmark-dev libinih-dev \
     libxxhash-dev libssl-dev nlohmann-json3-dev libcpp-httplib-dev \
-    libhttp-parser-dev prometheus-cpp-dev > /dev/null
+    libhttp-parser-dev prometheus-cpp-dev zlib1g-dev > /dev/null
 cmake -S . -B build -G Ninja > /dev/null
 cmake --build build -- --quiet
