Fetch large lost records, keep pieces, and bound fetches of values

Each batch was copied, also without references.

Change: a batch is needed while it brings a later position or lost records that the mirror lacks. A new fetch of the same value takes over the pieces. A rejected value drops its source, implausible sizes do so too, waits and named sources are bounded, and a fetch without a piece for 5 s ends. A batch has at most two references, further large values are sent whole. Values that were fetched before are taken from the kept compressed form.

--- a/Source/record_exchange.cpp
+++ b/Source/record_exchange.cpp
@@ -18,6 +18,9 @@
 constexpr millis piece_check_interval = 5ms;
 // The log of operators' orders, by which `newer_orders_known` goes.
 constexpr std::size_t orders_log = 0;
+// Values that one batch refers to.  A source keeps no more than `value_source::capacity`, for all
+// logs and versions; further large values are sent whole.
+constexpr int max_references = 2;
 
 using wire_restores = google::protobuf::RepeatedPtrField<wire::log_restore>;
 
@@ -45,6 +48,23 @@
             .era = row.era()};
 }
 
+// Whether a restore has taken the record out of the log, and the mirror lacks it.
+bool is_missing_lost_record(const record_mirror& mirror, const wire::keyed_record& row)
+{
+    if (row.era() >= mirror.era() || !mirror.accepts_lost()) {
+        return false;
+    }
+    const mirrored_record* known = mirror.find(row.key());
+    return known == nullptr || known->era != row.era() || known->offset < row.offset();
+}
+
+int references_in(const wire::record_batch& batch)
+{
+    return static_cast<int>(
+        std::count_if(batch.records().begin(), batch.records().end(),
+                      [](const wire::keyed_record& row) { return row.has_reference(); }));
+}
+
 // The first record whose value is a reference; null if there is none.
 wire::keyed_record* first_reference(wire::record_batch& batch)
 {
@@ -86,10 +106,14 @@
     }
 }
 
+log_position record_exchange::own_position(const mirrored_log& log)
+{
+    return {.era = log.mirror->era(), .offset = log.mirror->position().value_or(0)};
+}
+
 bool record_exchange::is_behind(const mirrored_log& log) const
 {
-    const log_position own{.era = log.mirror->era(), .offset = log.mirror->position().value_or(0)};
-    return log.latest && own < log.latest->at &&
+    return log.latest && own_position(log) < log.latest->at &&
            core_.now() - log.latest->shown_at < options_.position_lifetime;
 }
 
@@ -219,17 +243,18 @@
     if (!record.value) {
         return;
     }
-    if (!in_pieces || record.value->size() < options_.transfer.least_bytes) {
+    const std::size_t bytes = record.value->size();
+    if (!in_pieces || bytes < options_.transfer.least_bytes ||
+        bytes > options_.transfer.max_bytes || references_in(batch) >= max_references) {
         row.set_value(*record.value);
         return;
     }
     const std::uint64_t hash = hash_of(*record.value);
     if (source_.find(hash) == nullptr) {
-        source_.keep(
-            {.hash = hash, .bytes = record.value->size(), .data = pack_value(*record.value)});
+        source_.keep({.hash = hash, .bytes = bytes, .data = pack_value(*record.value)});
     }
     row.mutable_reference()->set_hash(hash);
-    row.mutable_reference()->set_bytes(static_cast<std::uint32_t>(record.value->size()));
+    row.mutable_reference()->set_bytes(static_cast<std::uint32_t>(bytes));
 }
 
 void record_exchange::handle_record_request(const std::string& route,
@@ -271,76 +296,134 @@
               "log={} era={} records={} end={} before={} era_before={}", batch.log(), batch.era(),
               batch.records_size(), batch.end(), log.mirror->position().value_or(0),
               log.mirror->era());
-    wire::record_batch rest = batch;
-    const wire::keyed_record* reference = first_reference(rest);
-    if (reference == nullptr) {
+    if (references_in(batch) == 0) {
         apply_complete_batch(batch);
         return;
     }
-    if (reference->reference().bytes() > options_.transfer.max_bytes) {
-        log_event(event_id::malformed_message, "value_bytes={}", reference->reference().bytes());
+    if (!is_fetchable(batch)) {
         return;
     }
-    // What is complete is used at once.  The position follows when the rest has come.
-    if (batch.era() == log.mirror->era()) {
-        for (const wire::keyed_record& row : batch.records()) {
-            if (!row.has_reference()) {
-                log.mirror->apply(record_of(row));
-            }
+    apply_small_records(log, batch);
+    std::unique_ptr<value_fetch> earlier;
+    if (log.pending) {
+        if (batch.era() <= log.pending->batch.era() && log.pending->fetch->moves(core_.now())) {
+            return; // a later batch is requested once the current one is complete
         }
+        earlier = std::move(log.pending->fetch);
     }
-    if (log.pending && log.pending->fetch->moves(core_.now())) {
-        return; // a later batch is requested once the current one is complete
+    log.pending = pending_batch{.batch = batch, .peer = route};
+    begin_fetch(batch.log(), std::move(earlier));
+}
+
+// Whether the batch can be applied once its values are here.
+bool record_exchange::is_fetchable(const wire::record_batch& batch) const
+{
+    if (batch.era() > logs_[batch.log()].mirror->era() && !batch.listing()) {
+        return false; // it does not say what else the log of that era holds
+    }
+    for (const wire::keyed_record& row : batch.records()) {
+        if (row.reference().bytes() > options_.transfer.max_bytes) {
+            log_event(event_id::malformed_message, "value_bytes={}", row.reference().bytes());
+            return false;
+        }
     }
-    log.pending = pending_batch{.batch = std::move(rest)};
-    begin_fetch(batch.log(), route);
+    return true;
 }
 
-// Fetches the first value that the pending batch of the log lacks, or applies the batch.
-void record_exchange::begin_fetch(std::size_t log, const std::string& peer)
+// Applies what is complete of the batch.  The position follows when the rest has come.
+void record_exchange::apply_small_records(mirrored_log& log, const wire::record_batch& batch)
 {
-    mirrored_log& row = logs_[log];
-    if (fill_known_references(log)) {
-        const wire::record_batch complete = std::move(row.pending->batch);
-        drop_pending(log);
-        apply_complete_batch(complete);
-        if (is_behind(row)) {
-            request_records(row.latest->peer, log, row.mirror->era(),
-                            row.mirror->position().value_or(0));
+    if (batch.era() != log.mirror->era()) {
+        return;
+    }
+    for (const wire::keyed_record& row : batch.records()) {
+        if (!row.has_reference()) {
+            log.mirror->apply(record_of(row));
         }
+    }
+}
+
+// Whether the pending batch still brings what the mirror lacks: a later position, or records that
+// a restore has lost.
+bool record_exchange::is_needed(const mirrored_log& log)
+{
+    const wire::record_batch& batch = log.pending->batch;
+    const log_position end{.era = batch.era(), .offset = batch.end()};
+    if (own_position(log) < end || (batch.era() == log.mirror->era() && !log.mirror->position())) {
+        return true;
+    }
+    return std::any_of(batch.records().begin(), batch.records().end(),
+                       [&](const wire::keyed_record& row) {
+                           return row.has_reference() && is_missing_lost_record(*log.mirror, row);
+                       });
+}
+
+// Fetches the first value that the pending batch of the log lacks, or applies the batch.  Pieces of
+// the same value that an earlier fetch has got are kept.
+void record_exchange::begin_fetch(std::size_t log, std::unique_ptr<value_fetch> earlier)
+{
+    if (fill_known_references(log)) {
+        apply_pending(log);
         return;
     }
-    const wire::record_batch& batch = row.pending->batch;
-    const wire::value_reference& wanted = first_reference(row.pending->batch)->reference();
-    row.pending->fetch = std::make_unique<value_fetch>(
-        value_reference{.hash = wanted.hash(), .bytes = wanted.bytes()}, options_.transfer,
-        core_.now());
-    row.pending->fetch->add_sources({peer});
-    row.pending->fetch->add_sources(
-        hooks_.holders(log, {.era = batch.era(), .offset = batch.end()}));
+    pending_batch& pending = *logs_[log].pending;
+    const wire::value_reference& reference = first_reference(pending.batch)->reference();
+    const value_reference wanted{.hash = reference.hash(), .bytes = reference.bytes()};
+    pending.fetch = std::make_unique<value_fetch>(wanted, options_.transfer, core_.now());
+    if (earlier != nullptr && earlier->wanted() == wanted) {
+        pending.fetch->resume(std::move(*earlier));
+    }
+    pending.fetch->add_sources({pending.peer});
+    pending.fetch->add_sources(
+        hooks_.holders(log, {.era = pending.batch.era(), .offset = pending.batch.end()}));
     piece_timer_ = core_.every(piece_check_interval, [this] { request_due_pieces(); });
     request_due_pieces();
 }
 
+// Applies the pending batch, which is complete, and requests what a peer has beyond it.
+void record_exchange::apply_pending(std::size_t log)
+{
+    mirrored_log& row = logs_[log];
+    const log_position before = own_position(row);
+    const wire::record_batch complete = std::move(row.pending->batch);
+    drop_pending(log);
+    apply_complete_batch(complete);
+    // A peer may have shown a position that it lost by a restart: the next digest tells.
+    if (before < own_position(row) && is_behind(row)) {
+        request_records(row.latest->peer, log, row.mirror->era(),
+                        row.mirror->position().value_or(0));
+    }
+}
+
 // Fills in values that this entry has.  Returns whether the batch is complete then.
 bool record_exchange::fill_known_references(std::size_t log)
 {
     mirrored_log& row = logs_[log];
     while (wire::keyed_record* record = first_reference(row.pending->batch)) {
-        const value_reference wanted{.hash = record->reference().hash(),
-                                     .bytes = record->reference().bytes()};
-        const mirrored_record* known = row.mirror->find(record->key());
-        if (known != nullptr && known->value && known->value->size() == wanted.bytes &&
-            hash_of(*known->value) == wanted.hash) {
-            record->set_value(*known->value);
-            record->clear_reference();
-            continue;
+        std::optional<std::string> value = known_value(row, *record);
+        if (!value) {
+            return false;
         }
-        return false;
+        record->set_value(*std::move(value));
+        record->clear_reference();
     }
     return true;
 }
 
+// The value that the record refers to, if it is the known one of its key or was fetched before.
+std::optional<std::string> record_exchange::known_value(const mirrored_log& log,
+                                                        const wire::keyed_record& record) const
+{
+    const wire::value_reference& wanted = record.reference();
+    const mirrored_record* known = log.mirror->find(record.key());
+    if (known != nullptr && known->value && known->value->size() == wanted.bytes() &&
+        hash_of(*known->value) == wanted.hash()) {
+        return known->value;
+    }
+    const packed_value* kept = source_.find(wanted.hash());
+    return kept == nullptr ? std::nullopt : unpack_value(kept->data, wanted.bytes());
+}
+
 void record_exchange::drop_pending(std::size_t log)
 {
     logs_[log].pending.reset();
@@ -358,17 +441,14 @@
         if (!pending) {
             continue;
         }
-        const record_mirror& mirror = *logs_[log].mirror;
-        const bool obsolete = mirror.era() > pending->batch.era() ||
-                              (mirror.era() == pending->batch.era() && mirror.position() &&
-                               *mirror.position() >= pending->batch.end());
-        if (obsolete || pending->fetch->exhausted()) {
+        value_fetch& fetch = *pending->fetch;
+        if (!is_needed(logs_[log]) || fetch.exhausted() || fetch.stalled(core_.now())) {
             drop_pending(log); // the next digest leads to a new request
             continue;
         }
-        if (const auto due = pending->fetch->next_request(core_.now())) {
+        if (const auto due = fetch.next_request(core_.now())) {
             wire::envelope message;
-            message.mutable_value_request()->set_hash(pending->fetch->wanted().hash);
+            message.mutable_value_request()->set_hash(fetch.wanted().hash);
             message.mutable_value_request()->set_from(static_cast<std::uint32_t>(due->from));
             hooks_.send(due->source, std::move(message));
         }
@@ -437,7 +517,7 @@
     wire::keyed_record* record = first_reference(pending.batch);
     record->set_value(*std::move(value));
     record->clear_reference();
-    begin_fetch(log, logs_[log].latest ? logs_[log].latest->peer : std::string());
+    begin_fetch(log, nullptr);
 }
 
 void record_exchange::apply_complete_batch(const wire::record_batch& batch)
--- a/Source/record_exchange.h
+++ b/Source/record_exchange.h
@@ -86,6 +86,7 @@
     // A batch whose large values are still being fetched.
     struct pending_batch {
         wire::record_batch batch;
+        std::string peer;                   // that sent it
         std::unique_ptr<value_fetch> fetch; // of the first reference that is left
     };
     struct mirrored_log {
@@ -100,15 +101,22 @@
         std::optional<pending_batch> pending;
     };
 
+    static log_position own_position(const mirrored_log& log);
     bool is_behind(const mirrored_log& log) const;
     void note_position(mirrored_log& log, const std::string& peer, const peer_log& theirs);
     void request_lost_records(const std::string& peer, std::size_t log, const peer_log& theirs);
     void request_records(const std::string& peer, std::size_t log, std::uint64_t era,
                          std::uint64_t offset);
     void add_record(const mirrored_record& record, bool in_pieces, wire::record_batch& batch);
+    bool is_fetchable(const wire::record_batch& batch) const;
+    static void apply_small_records(mirrored_log& log, const wire::record_batch& batch);
+    static bool is_needed(const mirrored_log& log);
     void apply_complete_batch(const wire::record_batch& batch);
-    void begin_fetch(std::size_t log, const std::string& peer);
+    void begin_fetch(std::size_t log, std::unique_ptr<value_fetch> earlier);
     bool fill_known_references(std::size_t log);
+    std::optional<std::string> known_value(const mirrored_log& log,
+                                           const wire::keyed_record& record) const;
+    void apply_pending(std::size_t log);
     void on_value(std::size_t log, const std::string& packed);
     void drop_pending(std::size_t log);
     void request_due_pieces();
--- a/Source/value_transfer.cpp
+++ b/Source/value_transfer.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-// Versions follow one another within fractions of a second, and receivers of the one before the
-// last are still to get its rest.
-constexpr std::size_t kept_values = 3;
 constexpr std::size_t max_holders = 64;
 constexpr std::size_t holders_per_reply = 3;
 constexpr std::size_t max_sources = 32;
@@ -17,6 +14,10 @@
 constexpr double unknown_link_mbps = 10;
 constexpr double bytes_per_mbit = 125000;
 constexpr double burst_pieces = 2;
+// Longest time for which a receiver leaves a source alone, whatever the source says.
+constexpr millis max_wait = 1000ms;
+// Time after which a fetch may be replaced although it still gets pieces.
+constexpr millis max_fetch_time = 10000ms;
 
 double pieces_per_second(const value_transfer_options& options)
 {
@@ -24,6 +25,15 @@
     return link * bytes_per_mbit * options.link_share / static_cast<double>(options.piece_bytes);
 }
 
+// Upper bound of the size of the compressed form of a value, as data that does not compress is
+// stored in blocks with short heads.
+std::size_t max_packed_bytes(std::size_t bytes)
+{
+    constexpr std::size_t block_heads_divisor = 1000;
+    constexpr std::size_t frame_bytes = 64;
+    return bytes + bytes / block_heads_divisor + frame_bytes;
+}
+
 } // namespace
 
 value_source::value_source(value_transfer_options options)
@@ -39,27 +49,31 @@
     if (find(value.hash) != nullptr) {
         return;
     }
-    if (values_.size() == kept_values) {
+    if (values_.size() == capacity) {
         values_.pop_front();
     }
     values_.push_back({.value = std::move(value), .holders = {}});
 }
 
+std::size_t value_source::place_of(std::uint64_t hash) const
+{
+    const auto found = std::find_if(values_.begin(), values_.end(),
+                                    [&](const kept_value& row) { return row.value.hash == hash; });
+    return static_cast<std::size_t>(found - values_.begin());
+}
+
 const packed_value* value_source::find(std::uint64_t hash) const
 {
-    const auto found = std::find_if(values_.begin(), values_.end(), [&](const kept_value& kept) {
-        return kept.value.hash == hash;
-    });
-    return found == values_.end() ? nullptr : &found->value;
+    const std::size_t place = place_of(hash);
+    return place == values_.size() ? nullptr : &values_[place].value;
 }
 
 value_source::reply value_source::answer(const std::string& receiver, std::uint64_t hash,
                                          std::size_t from, millis now)
 {
-    const auto found = std::find_if(values_.begin(), values_.end(), [&](const kept_value& kept) {
-        return kept.value.hash == hash;
-    });
-    if (found == values_.end() || from >= found->value.data.size()) {
+    const std::size_t place = place_of(hash);
+    kept_value* found = place == values_.size() ? nullptr : &values_[place];
+    if (found == nullptr || from >= found->value.data.size()) {
         return {};
     }
     std::erase_if(receivers_,
@@ -94,8 +108,17 @@
 }
 
 value_fetch::value_fetch(value_reference wanted, value_transfer_options options, millis now)
-    : wanted_(wanted), options_(options), began_at_(now), last_piece_at_(now)
+    : wanted_(wanted), options_(options), began_at_(now), started_at_(now), last_piece_at_(now)
+{
+}
+
+void value_fetch::resume(value_fetch&& earlier)
 {
+    data_ = std::move(earlier.data_);
+    last_giver_ = std::move(earlier.last_giver_);
+    total_ = earlier.total_;
+    pieces_ = earlier.pieces_;
+    began_at_ = earlier.began_at_;
 }
 
 void value_fetch::add_sources(const std::vector<std::string>& sources)
@@ -114,8 +137,11 @@
     return found == sources_.end() ? nullptr : &*found;
 }
 
-void value_fetch::drop(const std::string& name)
+void value_fetch::drop(const std::string& name, millis now)
 {
+    if (current_ == name) {
+        leave_current(now, 0ms);
+    }
     std::erase_if(sources_, [&](const source& row) { return row.name == name; });
 }
 
@@ -152,33 +178,40 @@
     return request{.source = chosen->name, .from = data_.size()};
 }
 
+// Notes that the current source has no piece to send yet, and whom it names instead.
+void value_fetch::wait_for_current(const piece& received, millis now)
+{
+    const millis wait = std::min(received.wait, max_wait);
+    if (!received.busy) {
+        asked_at_.reset();
+        find(received.source)->ask_from = now + wait;
+        return;
+    }
+    leave_current(now, wait);
+    const std::size_t named = std::min(holders_per_reply, received.holders.size());
+    add_sources(
+        {received.holders.begin(), received.holders.begin() + static_cast<std::ptrdiff_t>(named)});
+}
+
+bool value_fetch::is_plausible(const piece& received) const
+{
+    return received.total <= max_packed_bytes(wanted_.bytes) &&
+           received.from + received.data.size() <= received.total;
+}
+
 std::optional<std::string> value_fetch::on_piece(const piece& received, millis now)
 {
     const bool from_current = current_ == received.source;
-    if (received.total == 0 || received.total > options_.max_bytes) {
-        if (from_current) {
-            leave_current(now, 0ms);
-        }
-        drop(received.source);
+    // Each source has the same compressed form only if it uses the same compressor.
+    const bool other_form = total_ != 0 && !received.data.empty() && total_ != received.total;
+    if (received.total == 0 || !is_plausible(received) || other_form) {
+        drop(received.source, now);
         return std::nullopt;
     }
     if (received.data.empty()) {
-        if (!from_current) {
-            return std::nullopt;
-        }
-        if (received.busy) {
-            leave_current(now, received.wait);
-            add_sources(received.holders);
-            return std::nullopt;
+        if (from_current) {
+            wait_for_current(received, now);
         }
-        asked_at_.reset();
-        find(received.source)->ask_from = now + received.wait;
-        return std::nullopt;
-    }
-    // Each source has the same compressed form only if it uses the same compressor.
-    if (total_ != 0 && total_ != received.total) {
-        drop(received.source);
-        leave_current(now, 0ms);
         return std::nullopt;
     }
     if (from_current) {
@@ -189,6 +222,7 @@
     }
     total_ = received.total;
     data_.append(received.data);
+    last_giver_ = received.source;
     ++pieces_;
     last_piece_at_ = now;
     if (data_.size() < total_) {
@@ -203,12 +237,17 @@
 {
     data_.clear();
     total_ = 0;
-    leave_current(now, options_.piece_timeout);
+    drop(last_giver_, now);
 }
 
 bool value_fetch::moves(millis now) const
 {
-    return now - last_piece_at_ < options_.piece_timeout * 2;
+    return now - last_piece_at_ < options_.piece_timeout * 2 && now - started_at_ < max_fetch_time;
+}
+
+bool value_fetch::stalled(millis now) const
+{
+    return now - last_piece_at_ >= options_.give_up_after;
 }
 
 } // namespace cyclamen
--- a/Source/value_transfer.h
+++ b/Source/value_transfer.h
@@ -26,6 +26,7 @@
     millis receiver_timeout = 200ms; // silence after which a receiver no longer counts
     millis piece_timeout = 250ms;    // after which a receiver asks another source
     millis busy_pause = 60ms;        // after which it asks a busy source again
+    millis give_up_after = 5000ms;   // without a piece, after which a receiver gives up
 };
 
 /// The compressed form of one value.
@@ -42,6 +43,10 @@
 public:
     explicit value_source(value_transfer_options options);
 
+    /// Number of values that are kept.  Versions follow one another within fractions of a second,
+    /// and receivers of the one before the last are still to get its rest.
+    static constexpr std::size_t capacity = 4;
+
     /// Keeps a value; the oldest one that is kept gives way.
     void keep(packed_value value);
     const packed_value* find(std::uint64_t hash) const;
@@ -66,6 +71,9 @@
         std::vector<std::string> holders; // those that have the last piece
     };
 
+    // Index in `values_`; its size if the value is not kept.
+    std::size_t place_of(std::uint64_t hash) const;
+
     value_transfer_options options_;
     double pieces_per_second_;
     std::size_t max_receivers_;
@@ -79,6 +87,8 @@
 struct value_reference {
     std::uint64_t hash = 0;
     std::size_t bytes = 0;
+
+    friend bool operator==(const value_reference&, const value_reference&) = default;
 };
 
 /// Fetches one value in pieces: chooses the source and when to ask it.  Reads no clock: the caller
@@ -88,6 +98,8 @@
     value_fetch(value_reference wanted, value_transfer_options options, millis now);
 
     const value_reference& wanted() const { return wanted_; }
+    /// Takes over the pieces of a fetch that wanted the same value, but not its sources.
+    void resume(value_fetch&& earlier);
 
     /// Adds sources, in the order in which they are to be asked.
     void add_sources(const std::vector<std::string>& sources);
@@ -113,11 +125,14 @@
     };
     /// Takes the answer of a source.  Returns the compressed form once it is complete.
     std::optional<std::string> on_piece(const piece& received, millis now);
-    /// Drops what was received, after the complete form turned out to be another value's.
+    /// Drops what was received, after the complete form turned out to be another value's, and the
+    /// source of its end.
     void reject(millis now);
 
-    /// Whether a piece has come recently.
+    /// Whether a piece has come recently, so that the fetch is not to be replaced by another.
     bool moves(millis now) const;
+    /// Whether no piece has come for so long that the fetch is to be given up.
+    bool stalled(millis now) const;
     /// Whether no source has the value.
     bool exhausted() const { return sources_.empty(); }
     unsigned pieces() const { return pieces_; }
@@ -130,7 +145,9 @@
     };
 
     source* find(const std::string& name);
-    void drop(const std::string& name);
+    bool is_plausible(const piece& received) const;
+    void wait_for_current(const piece& received, millis now);
+    void drop(const std::string& name, millis now);
     void leave_current(millis now, millis pause);
 
     value_reference wanted_;
@@ -139,9 +156,11 @@
     std::optional<std::string> current_; // the source that is asked
     std::optional<millis> asked_at_;     // time of the open request
     std::string data_;
-    std::size_t total_ = 0; // size of the compressed form, once known
+    std::string last_giver_; // source of the last piece in `data_`
+    std::size_t total_ = 0;  // size of the compressed form, once known
     unsigned pieces_ = 0;
     millis began_at_;
+    millis started_at_; // differs from `began_at_` after `resume`
     millis last_piece_at_;
 };
 
--- a/Tests/Relay/value_transfer_test.cpp
+++ b/Tests/Relay/value_transfer_test.cpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <queue>
 #include <random>
+#include <set>
 
 using namespace cyclamen;
 
@@ -326,6 +327,56 @@
     EXPECT_EQ(answer.holders, std::vector<std::string>{"r0"});
 }
 
+// Guards against a source with wrong bytes that is asked again and again.
+TEST_F(one_fetch, asks_another_source_after_a_value_that_was_not_the_right_one)
+{
+    ASSERT_EQ(fetch.next_request(0ms)->source, "a");
+    ASSERT_TRUE(fetch.on_piece({.source = "a", .total = 5, .data = "wrong"}, 1ms));
+    fetch.reject(1ms);
+    const auto due = fetch.next_request(1ms);
+    ASSERT_TRUE(due);
+    EXPECT_EQ(due->source, "b");
+    EXPECT_EQ(due->from, 0U);
+    ASSERT_TRUE(fetch.on_piece({.source = "b", .total = 5, .data = "wrong"}, 2ms));
+    fetch.reject(2ms);
+    EXPECT_TRUE(fetch.exhausted());
+}
+
+// Guards against memory without bound for what a damaged source sends, and against one that is
+// waited for as long as it says, or names sources without end.
+TEST_F(one_fetch, takes_no_sizes_waits_or_sources_beyond_reason)
+{
+    ASSERT_EQ(fetch.next_request(0ms)->source, "a");
+    EXPECT_FALSE(fetch.on_piece({.source = "a", .total = 3, .data = "longer"}, 1ms));
+    ASSERT_EQ(fetch.next_request(1ms)->source, "b") << "the piece was longer than the value";
+    std::vector<std::string> names;
+    for (int number = 0; number < 100; ++number) {
+        names.push_back(fmt::format("h{}", number));
+    }
+    const millis day = 86400000ms;
+    fetch.on_piece({.source = "b", .total = 9, .busy = true, .wait = day, .holders = names}, 1ms);
+    EXPECT_LT(fetch.sources(), 10U);
+    fetch.add_sources({"c"});
+    std::set<std::string> asked;
+    for (millis now = 1ms; now < 4000ms; now += options.piece_timeout) {
+        asked.insert(fetch.next_request(now)->source);
+    }
+    EXPECT_TRUE(asked.contains("b"));
+    EXPECT_TRUE(asked.contains("c"));
+    EXPECT_FALSE(fetch.on_piece({.source = "c", .total = 50000, .data = "x"}, 5000ms));
+    EXPECT_EQ(fetch.pieces(), 0U) << "a compressed form far larger than the value";
+}
+
+// Guards against a good source that is left because of a late piece of another one.
+TEST_F(one_fetch, stays_with_its_source_when_another_ones_piece_does_not_fit)
+{
+    ASSERT_EQ(fetch.next_request(0ms)->source, "a");
+    fetch.on_piece(piece_of(source.answer("me", 1, 0, 0ms), 0), 1ms);
+    ASSERT_EQ(fetch.next_request(1ms)->source, "a");
+    fetch.on_piece({.source = "b", .from = 8192, .total = 9000, .data = "x"}, 2ms);
+    EXPECT_FALSE(fetch.next_request(2ms)) << "the request at the first source is open";
+}
+
 // Guards against foreign or damaged bytes that end the process or pass for a value.
 TEST(value_packing, refuses_what_is_not_the_compressed_form)
 {
