Count the bytes sent to peers by kind of message

Cause: `peer_bytes_out` does not tell whether digests, records or pieces of values occupy a link. Change: `peer_bytes_out_KIND` for each kind, named like the body in wire.proto. Result: the test of message_socket failed on the missing counters before, and passes now.

--- a/Source/message_socket.cpp
+++ b/Source/message_socket.cpp
@@ -7,6 +7,7 @@
 #include <zmq.hpp>
 
 #include <optional>
+#include <string>
 
 namespace cyclamen {
 
@@ -20,6 +21,13 @@
 
 constexpr int max_messages_per_wakeup = 256; // maximum read before other handlers on the loop run
 
+// Counter of the bytes of sent messages of this kind, named like the body in wire.proto.
+std::string bytes_out_counter(wire::envelope::BodyCase body)
+{
+    const auto* field = wire::envelope::descriptor()->FindFieldByNumber(body);
+    return "peer_bytes_out_" + (field == nullptr ? std::string("other") : field->name());
+}
+
 } // namespace
 
 struct message_socket::state {
@@ -217,6 +225,7 @@
     }
     if (sent) {
         state_->metrics.named("peer_bytes_out") += bytes.size();
+        state_->metrics.named(bytes_out_counter(message.body_case())) += bytes.size();
         ++state_->metrics.named("peer_messages_out");
     }
     else {
--- a/Tests/Wire/message_socket_test.cpp
+++ b/Tests/Wire/message_socket_test.cpp
@@ -44,6 +44,11 @@
         greeting.mutable_hello()->set_instance("entry-1");
         EXPECT_TRUE(peer->send({}, greeting));
         EXPECT_TRUE(run_until(loop, [&] { return received == 1; }));
+        // By kind, as an operator needs to see what occupies a link.
+        EXPECT_GT(metrics.named("peer_bytes_out_hello"), 0U);
+        EXPECT_EQ(metrics.named("peer_bytes_out_hello"), metrics.named("peer_bytes_out"));
+        EXPECT_TRUE(peer->send({}, {}));
+        EXPECT_GT(metrics.named("peer_bytes_out_other"), 0U);
 
         zmq::context_t context;
         zmq::socket_t foreign_peer(context, zmq::socket_type::dealer);
