Show link rates below 1 Mbit/s and beyond 32 bits in digests

Cause: the rate was cut to an integer, so that 0.4 Mbit/s looked unknown, and the conversion of rates from 2^32 on is undefined. Change: rates are rounded up and clamped. Result: of the three cases of two_links, two failed before (after 10 s each); all three pass now. The test replaces two_entries.let_the_faster_link_read_the_logs_first, whose case is the first of them.

--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace cyclamen {
 
@@ -36,6 +37,12 @@
 constexpr millis send_check_interval = 50ms;
 constexpr millis sweep_interval = 500ms;
 
+// The link rate as digests show it.  Rounded up, as 0 says that the rate is unknown.
+std::uint32_t shown_link_mbps(double mbps)
+{
+    return static_cast<std::uint32_t>(std::clamp(std::ceil(mbps), 0.0, double{UINT32_MAX}));
+}
+
 message_socket_options socket_options()
 {
     return {.high_water_mark = max_queued_digests, .retransmit_timeout_ms = retransmit_timeout_ms};
@@ -195,7 +202,7 @@
 std::size_t peer_gossip::log_readers_before() const
 {
     const std::string own = options_.listen.text();
-    const auto own_link = static_cast<std::uint32_t>(options_.link_mbps);
+    const std::uint32_t own_link = shown_link_mbps(options_.link_mbps);
     return static_cast<std::size_t>(
         std::count_if(peers_.begin(), peers_.end(), [&](const auto& row) {
             const std::uint32_t link = row.second.link_mbps;
@@ -293,7 +300,7 @@
     body.set_incarnation(core_.incarnation());
     body.set_sequence(++sequence_);
     records_->add_positions(body);
-    body.set_link_mbps(static_cast<std::uint32_t>(options_.link_mbps));
+    body.set_link_mbps(shown_link_mbps(options_.link_mbps));
     body.set_zone(static_cast<std::uint32_t>(zone_hash_));
     body.set_source_answers(source_answers && source_answers());
     body.set_source_age_ms(static_cast<std::uint32_t>(
--- a/Tests/Relay/peer_gossip_test.cpp
+++ b/Tests/Relay/peer_gossip_test.cpp
@@ -353,14 +353,18 @@
     EXPECT_EQ(entries[1]->core.metrics().named("values_fetched"), 1U);
 }
 
-// Guards against entries on thin links that read the store for those with fast ones.
-TEST_F(two_entries, let_the_faster_link_read_the_logs_first)
+class two_links : public two_entries, public testing::WithParamInterface<std::array<double, 2>> {};
+
+// Guards against entries on thin links that read the store for those with fast ones, also where a
+// rate is below 1 Mbit/s or beyond what a digest can carry.
+TEST_P(two_links, let_the_faster_one_read_the_logs_first)
 {
+    const auto [slow_mbps, fast_mbps] = GetParam();
     for (std::size_t at = 0; at < entries.size(); ++at) {
         const bool is_lower = addresses.at(at).text() < addresses.at(1 - at).text();
         entries.at(at) = std::make_unique<gossiping_entry>(
             addresses.at(at), addresses.at(1 - at),
-            peer_gossip_options{.log_readers = 1, .link_mbps = is_lower ? 10.0 : 200.0});
+            peer_gossip_options{.log_readers = 1, .link_mbps = is_lower ? slow_mbps : fast_mbps});
         entries.at(at)->gossip.source_answers = [] { return true; };
     }
     const std::size_t lower = addresses[0].text() < addresses[1].text() ? 0 : 1;
@@ -370,6 +374,10 @@
     }));
 }
 
+INSTANTIATE_TEST_SUITE_P(rates, two_links,
+                         testing::Values(std::array{10.0, 200.0}, std::array{0.0, 0.4},
+                                         std::array{10.0, 4294967296.0}));
+
 // many entries: guards against digests that all carry the list of peers, three quarters of their
 // bytes among 68 entries, and against a peer that never gets it.
 TEST(digests, carry_the_list_of_peers_to_each_peer_in_one_of_eight_turns)
