Apply small lost records at once, and no batch that the store has overtaken

Cause: a batch that became complete between two checks was applied although the store had listed the log by then, and brought back a key that was removed. Small records of an earlier era waited for the large ones of their batch. Change: a batch is checked again before it is applied; records of earlier eras are applied when they come.

--- a/Source/record_exchange.cpp
+++ b/Source/record_exchange.cpp
@@ -333,8 +333,8 @@
 // Applies what is complete of the batch.  The position follows when the rest has come.
 void record_exchange::apply_small_records(mirrored_log& log, const wire::record_batch& batch)
 {
-    if (batch.era() != log.mirror->era()) {
-        return;
+    if (batch.era() > log.mirror->era()) {
+        return; // the mirror needs the listing of that era first
     }
     for (const wire::keyed_record& row : batch.records()) {
         if (!row.has_reference()) {
@@ -514,6 +514,11 @@
     }
     ++core_.metrics().named("values_fetched");
     source_.keep({.hash = wanted.hash, .bytes = wanted.bytes, .data = packed});
+    // After a later listing of the store, an old batch could bring back what was removed.
+    if (!is_needed(logs_[log])) {
+        drop_pending(log);
+        return;
+    }
     wire::keyed_record* record = first_reference(pending.batch);
     record->set_value(*std::move(value));
     record->clear_reference();
--- a/Tests/Relay/record_exchange_test.cpp
+++ b/Tests/Relay/record_exchange_test.cpp
@@ -194,6 +194,12 @@
     }
     orders.apply_listing(listed, 6);
     wire::record_request request;
+    records->handle_record_request("a", request); // of an entry of the former build
+    ASSERT_EQ(count(wire::envelope::kRecordBatch), 1U);
+    for (const wire::keyed_record& row : sent[0].message.record_batch().records()) {
+        EXPECT_TRUE(row.has_value());
+    }
+    sent.clear();
     request.set_takes_pieces(true);
     records->handle_record_request("a", request);
     ASSERT_EQ(count(wire::envelope::kRecordBatch), 1U);
@@ -233,6 +239,39 @@
     EXPECT_EQ(orders.position(), 4U);
 }
 
+// Guards against a key that was removed and comes back with a transfer that the store has
+// overtaken.
+TEST_F(exchange, drops_a_value_when_the_store_has_answered_first)
+{
+    start();
+    orders.apply_listing({}, 0);
+    wire::record_batch batch = batch_of(0, 10);
+    refer(batch, value, {.era = 0, .offset = 5});
+    records->apply_record_batch("a", batch);
+    orders.apply_listing({}, 20);
+    records->handle_value_piece("a", piece_of(value, 0, everything));
+    EXPECT_EQ(orders.find("config"), nullptr);
+    EXPECT_EQ(orders.position(), 20U);
+}
+
+// Guards against small lost records that wait for a large one.
+TEST_F(exchange, applies_small_records_of_an_earlier_era_at_once)
+{
+    start();
+    orders.enter_era(1);
+    orders.enter_era(2);
+    orders.apply_listing({}, 5);
+    wire::record_batch batch = batch_of(1, 9);
+    refer(batch, value, {.era = 1, .offset = 7});
+    wire::keyed_record& small = *batch.add_records();
+    small.set_key("revoke/1");
+    small.set_value("{}");
+    small.set_era(1);
+    small.set_offset(8);
+    records->apply_record_batch("a", batch);
+    EXPECT_NE(orders.find("revoke/1"), nullptr);
+}
+
 // Guards against two entries that exchange requests and batches without end: the peer showed a
 // position that it has lost by a restart.
 TEST_F(exchange, requests_no_more_records_after_a_batch_that_brings_nothing_new)
