--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace cyclamen {
 
@@ -133,8 +134,6 @@
         bool other_zone = false;
         std::uint64_t order = 0;
         const std::string* address = nullptr;
-
-        auto operator<=>(const candidate&) const = default;
     };
     std::vector<candidate> candidates;
     for (const auto& [address, row] : peers_) {
@@ -147,7 +146,10 @@
                               .order = combine_hashes(own_hash_, row.hash),
                               .address = &address});
     }
-    std::sort(candidates.begin(), candidates.end());
+    std::sort(
+        candidates.begin(), candidates.end(), [](const candidate& left, const candidate& right) {
+            return std::tie(left.other_zone, left.order) < std::tie(right.other_zone, right.order);
+        });
     constexpr std::size_t most = 8;
     std::vector<std::string> holders;
     for (const candidate& each : candidates) {
--- a/Tests/Relay/value_transfer_test.cpp
+++ b/Tests/Relay/value_transfer_test.cpp
@@ -349,9 +349,9 @@
     ASSERT_EQ(fetch.next_request(0ms)->source, "a");
     EXPECT_FALSE(fetch.on_piece({.source = "a", .total = 3, .data = "longer"}, 1ms));
     ASSERT_EQ(fetch.next_request(1ms)->source, "b") << "the piece was longer than the value";
-    std::vector<std::string> names;
-    for (int number = 0; number < 100; ++number) {
-        names.push_back(fmt::format("h{}", number));
+    std::vector<std::string> names(100);
+    for (std::size_t number = 0; number < names.size(); ++number) {
+        names[number] = fmt::format("h{}", number);
     }
     const millis day = 86400000ms;
     fetch.on_piece({.source = "b", .total = 9, .busy = true, .wait = day, .holders = names}, 1ms);
