Carry out roll-outs of a software version

Change: rollout_evidence compares the outcomes of both sides by route, rollout_share bounds what each entry sends to a watched version, rollout decides on the steps, rollout_service carries them in digests and writes the status under a condition. backend_chooser takes a filter of versions. On only where the settings list the contract.

--- a/Source/backend_chooser.cpp
+++ b/Source/backend_chooser.cpp
@@ -232,6 +232,9 @@
         if (choice.reason == no_server_of_version) {
             choice.reason = "all_tried";
         }
+        if (criteria.versions && !criteria.versions->admits(server->entry.software_version)) {
+            continue;
+        }
         const software_trust trust =
             criteria.software_version ? table.trust(*server, now) : software_trust::listed;
         if (trust == software_trust::restarted) {
--- a/Source/backend_chooser.h
+++ b/Source/backend_chooser.h
@@ -50,6 +50,17 @@
     double cold_start_share = 0.8;
 };
 
+/// Admits the servers of one software version, or those of all others.
+struct version_filter {
+    std::string version;
+    bool only = true; // admits only `version`; if false, all others
+
+    bool admits(const std::string& software_version) const
+    {
+        return (software_version == version) == only;
+    }
+};
+
 /// Properties of a request that determine the choice of its backend server.
 struct backend_criteria {
     std::string service;
@@ -59,6 +70,7 @@
     const prefix_locations* locations = nullptr;  // servers that cache the segments; may be null
     const std::set<std::string>* tried = nullptr; // ids of servers to skip; may be null
     std::optional<std::string> software_version;  // the only one that can run the request
+    std::optional<version_filter> versions;       // that a roll-out admits
 
     /// Hash of the longest shared prefix of the prompt, which determines the placement.
     std::optional<std::uint64_t> placement_prefix() const
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -87,6 +87,12 @@
     server_doubted = 1823,
     expired_entries_released = 1824,
     value_fetched = 1825,
+    rollout_ordered = 1901,
+    rollout_moved = 1902,
+    rollout_halted = 1903,
+    rollout_recorded = 1904,
+    rollout_withdrawn = 1905,
+    rollout_refused = 1906,
 };
 
 /// Number, severity and name of an event.
@@ -96,7 +102,7 @@
     std::string_view name;
 };
 
-inline constexpr std::size_t event_count = 66;
+inline constexpr std::size_t event_count = 72;
 
 /// Catalogue of all events, sorted by number.
 const std::array<event_description, event_count>& event_catalogue();
--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -349,6 +349,9 @@
         row.set_incarnation(report.incarnation);
         row.set_age_ms(static_cast<std::uint32_t>((core_.now() - report.at).count()));
     }
+    if (add_to_digest) {
+        add_to_digest(body);
+    }
     if (with_peers) {
         const millis now = core_.now();
         for (const auto& [address, row] : peers_) {
@@ -388,6 +391,13 @@
     }
 }
 
+void peer_gossip::send_digests_soon()
+{
+    for (auto& [address, row] : peers_) {
+        row.last_digest_sent = millis(0);
+    }
+}
+
 // Sends a peer what is known of up to `count` suspects, and what was observed recently; `start`
 // selects them in turn.
 void peer_gossip::send_crash_evidence(peer& to, std::size_t start, std::size_t count)
@@ -472,6 +482,9 @@
         from.positions.push_back({.era = digest.logs(log).era(), .offset = digest.positions(log)});
     }
     from.earlier_era = !records_->on_digest(digest);
+    if (on_digest) {
+        on_digest(digest);
+    }
 }
 
 void peer_gossip::apply_counts(const std::string& address, const wire::relay_digest& digest)
--- a/Source/peer_gossip.h
+++ b/Source/peer_gossip.h
@@ -118,6 +118,14 @@
                                                       const wire::stream_origins&)>
         on_origins;
 
+    /// Adds to a digest what other services tell peers, and takes what they tell.  Optional.
+    std::function<void(wire::relay_digest& digest)> add_to_digest;
+    std::function<void(const wire::relay_digest& digest)> on_digest;
+    /// Interval between two digests to one peer.
+    millis interval() const;
+    /// Sends a digest to all peers within `send_check_interval`.
+    void send_digests_soon();
+
     /// Returns whether this entry's last read of each log from the log service succeeded.
     std::function<bool()> source_answers;
     /// Raised when the number of entries has changed.
@@ -154,7 +162,6 @@
     bool reads_logs(const peer& row) const;
     std::size_t log_readers_before() const;
     void sweep();
-    millis interval() const;
     millis counts_lifetime() const { return options_.counts_lifetime(peers_.size()); }
     millis silence_limit() const;
 
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -5,6 +5,7 @@
 #include "hashing.h"
 #include "relay_state.h"
 #include "retry_budgets.h"
+#include "rollout_service.h"
 
 #include <fmt/ranges.h>
 
@@ -217,16 +218,7 @@
         give_up("unknown_service");
         return;
     }
-    const backend_choice choice =
-        context_.chooser.choose(context_.state.backends(), *service,
-                                {.service = service_,
-                                 .segment_hashes = shared_prefix_segments(),
-                                 .shared_tokens = shared_tokens(),
-                                 .request_hash = hash_of(metadata_.id),
-                                 .locations = &context_.state.locations(),
-                                 .tried = &tried_backends_,
-                                 .software_version = stream_version_},
-                                context_.core.now());
+    const backend_choice choice = choose_backend(*service);
     if (choice.server == nullptr) {
         wait_for_backend(choice);
         return;
@@ -235,6 +227,61 @@
     send(choice);
 }
 
+backend_choice relay_exchange::choose_backend(const relay_service& service)
+{
+    backend_criteria criteria{.service = service_,
+                              .segment_hashes = shared_prefix_segments(),
+                              .shared_tokens = shared_tokens(),
+                              .request_hash = hash_of(metadata_.id),
+                              .locations = &context_.state.locations(),
+                              .tried = &tried_backends_,
+                              .software_version = stream_version_};
+    rollout_service* const rollouts = context_.rollouts;
+    if (rollouts != nullptr) {
+        criteria.versions = stream_version_ ? rollouts->stream_filter(service_, *stream_version_)
+                                            : rollouts->filter(service_, route_->name);
+    }
+    const auto choose = [&] {
+        return context_.chooser.choose(context_.state.backends(), service, criteria,
+                                       context_.core.now());
+    };
+    backend_choice choice = choose();
+    const rollout* order = rollouts == nullptr ? nullptr : rollouts->find(service_);
+    if (choice.server == nullptr && criteria.versions && criteria.versions->only &&
+        order->step() != rollout_step::completed) {
+        criteria.versions->only = false; // the ordered version has no room: others have
+        choice = choose();
+    }
+    if (choice.server != nullptr && rollouts != nullptr) {
+        rollouts->count_sent(service_, choice.server->entry.software_version);
+    }
+    return choice;
+}
+
+// Tells a roll-out how an attempt ended.  The time of a prompt's answer to its first event depends
+// on what the server has cached, so the pace of what follows counts.
+void relay_exchange::record_for_rollout(attempt_end how)
+{
+    if (context_.rollouts == nullptr || how == attempt_end::not_run ||
+        how == attempt_end::given_up) {
+        return;
+    }
+    const bool failed = how == attempt_end::lost || (how == attempt_end::answered &&
+                                                     (failure_ || status_ >= first_server_error));
+    millis took = answered_at_.value_or(context_.core.now()) - sent_at_;
+    if (route_->prompt_affinity) {
+        constexpr std::size_t least_bytes = 200; // fewer show no pace
+        constexpr std::size_t pace_bytes = 1000;
+        if (!failed && (!body_began_at_ || body_bytes_ < least_bytes)) {
+            return;
+        }
+        if (!failed) {
+            took = (context_.core.now() - *body_began_at_) * pace_bytes / body_bytes_;
+        }
+    }
+    context_.rollouts->record_end(service_, route_->name, software_version_, failed, took);
+}
+
 void relay_exchange::wait_for_backend(const backend_choice& choice)
 {
     if (choice.reason == no_server_of_version) {
@@ -299,6 +346,9 @@
             {static_cast<std::uint32_t>(part), static_cast<std::uint32_t>(server.hash)});
     }
     failure_.reset();
+    answered_at_.reset();
+    body_began_at_.reset();
+    body_bytes_ = 0;
     call_end_.reset();
     mode_ = body_mode::discard;
     events_.restart();
@@ -416,6 +466,7 @@
 bool relay_exchange::on_response_head(const http_head& head)
 {
     heard_at_ = context_.core.now();
+    answered_at_ = heard_at_;
     const response_metadata metadata = context_.codec.read_response(head);
     note_server_words(head, metadata);
     if (!metadata.id.empty() && metadata.id != metadata_.id) {
@@ -535,6 +586,10 @@
 void relay_exchange::on_response_body(std::string_view data)
 {
     heard_at_ = context_.core.now();
+    if (body_began_at_) {
+        body_bytes_ += data.size();
+    }
+    body_began_at_ = body_began_at_.value_or(heard_at_);
     if (mode_ == body_mode::discard) {
         return;
     }
@@ -744,6 +799,7 @@
     if (!attempt_) {
         return;
     }
+    record_for_rollout(how);
     if (how != attempt_end::completed && how != attempt_end::not_run) {
         log_event(event_id::attempt_unanswered,
                   "request={} backend={} incarnation={:016x} end={} silent_ms={} suspect={:016x}",
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -21,6 +21,7 @@
 class backend_connection_pool;
 class relay_state;
 class retry_budgets;
+class rollout_service;
 
 struct relay_exchange_options {
     // A backend server sends its own response when its time limit expires.  The relay waits this
@@ -63,6 +64,7 @@
     const header_codec& codec;
     std::function<bool(millis deadline)> can_finish; // false if the process may exit before
     const relay_exchange_options& options;
+    rollout_service* rollouts = nullptr; // null if there are no roll-outs here
 };
 
 /// One request of a caller, from its admission to the last byte of its response.  Owned by the
@@ -93,6 +95,8 @@
     bool admit_request();
     void find_origin();
     void attempt();
+    backend_choice choose_backend(const relay_service& service);
+    void record_for_rollout(attempt_end how);
     void wait_for_backend(const backend_choice& choice);
     bool take_late_wait(millis now);
     void send(const backend_choice& choice);
@@ -173,7 +177,10 @@
     millis held_time_{0};                                   // for which events were held back
     std::optional<crash_detector::attempt_number> attempt_; // open at the server
     millis sent_at_{0};
-    millis heard_at_{0}; // when bytes of its response last arrived
+    millis heard_at_{0};                  // when bytes of its response last arrived
+    std::optional<millis> answered_at_;   // when the head of its response arrived
+    std::optional<millis> body_began_at_; // when the first bytes of its body arrived
+    std::size_t body_bytes_ = 0;          // that arrived since
     body_mode mode_ = body_mode::discard;
     std::optional<attempt_outcome> failure_; // set if the response head reports a failure
     event_stream_splitter events_;
--- a/Source/relay_server.cpp
+++ b/Source/relay_server.cpp
@@ -63,6 +63,7 @@
         .codec = codec_,
         .can_finish = [this](millis deadline) { return can_finish(deadline); },
         .options = options_.exchange,
+        .rollouts = rollouts_,
     });
     sockaddr_storage address{};
     int length = sizeof address;
--- a/Source/relay_server.h
+++ b/Source/relay_server.h
@@ -69,6 +69,8 @@
     {
         chooser_.entry_rank = std::move(rank);
     }
+    /// Lets roll-outs decide which software versions get requests.  Call before `start`.
+    void set_rollouts(rollout_service& rollouts) { rollouts_ = &rollouts; }
     /// Applies changed limits to later requests and shutdowns.
     void set_limits(const relay_limits& limits);
 
@@ -109,6 +111,7 @@
     std::optional<millis> grace_ends_at_; // as of the begin of the stop
     std::optional<millis> aborted_at_; // end of the grace period, when open requests were aborted
     unsigned entries_ = 1;
+    rollout_service* rollouts_ = nullptr;
 };
 
 } // namespace cyclamen
