--- a/Tests/Decisions/backend_choice_test.cpp
+++ b/Tests/Decisions/backend_choice_test.cpp
@@ -599,3 +599,25 @@
     }
     EXPECT_TRUE(backend_table::record_loss(one.server(), now + 2000ms));
 }
+
+// Guards against requests of a roll-out at servers that it does not admit, also as a last resort.
+TEST(backend_choice, keeps_to_the_versions_that_a_rollout_admits)
+{
+    pool engines(6);
+    for (unsigned index = 0; index < 6; ++index) {
+        backend_entry entry = engines.table.find(pool::name(index))->entry;
+        entry.software_version = index == 3 ? "v2" : "v1";
+        engines.table.put(entry, now);
+    }
+    const backend* target = engines.table.find(pool::name(3));
+    for (std::uint64_t prompt = 1; prompt < 40; ++prompt) {
+        backend_criteria criteria{.service = "engine", .segment_hashes = {prompt}};
+        const auto choose = [&](const std::string& version, bool only) {
+            criteria.versions = version_filter{.version = version, .only = only};
+            return engines.chooser.choose(engines.table, engines.service, criteria, now).server;
+        };
+        EXPECT_EQ(choose("v2", true), target);
+        EXPECT_NE(choose("v2", false), target);
+        EXPECT_EQ(choose("v3", true), nullptr);
+    }
+}
