Bound the clients of HTTP servers over all connections (not yet tested)

Cause: http_server bounds the body of each connection, not their sum, and not the number of connections. Measured: builds; no test has run on it yet.

--- a/Source/caller_server.cpp
+++ b/Source/caller_server.cpp
@@ -70,7 +70,7 @@
     std::size_t unsent_bytes = 0; // streamed bytes since the connection was last drained
     std::vector<http_header> headers;
     std::uint64_t handle = 0;    // of the dispatcher
-    memory_budget::share memory; // of the bodies
+    memory_budget::share memory; // of the bodies; http_server counts what is not sent
     std::shared_ptr<std::set<request_context*>> registry;
 
     request_context(exchange from, memory_budget& budget,
@@ -84,7 +84,7 @@
     request_context& operator=(const request_context&) = delete;
     ~request_context() { registry->erase(this); }
 
-    void count_memory() { memory.set(caller->body().size() + body.size() + unsent_bytes); }
+    void count_memory() { memory.set(caller->body().size() + body.size()); }
 
     response_stage stage() const
     {
--- a/Source/fleet_process.cpp
+++ b/Source/fleet_process.cpp
@@ -38,6 +38,17 @@
     return static_cast<double>(values.integer(section, key)) / 100.0;
 }
 
+kernel_options kernel_options_of(const settings_values& values, std::string program)
+{
+    constexpr std::size_t bytes_per_mb = 1048576;
+    return {.program = std::move(program),
+            .instance = values.text("process", "instance"),
+            .connection_bytes =
+                static_cast<std::size_t>(values.integer("clients", "memory_mb")) * bytes_per_mb,
+            .client_connections =
+                static_cast<std::size_t>(values.integer("clients", "connections"))};
+}
+
 // Adds the services that entries and agents have in common.
 void add_common_services(kernel& core, const settings_values& values,
                          const std::string& peer_endpoint)
@@ -93,7 +104,7 @@
 
 int serve_entry(const settings_values& values)
 {
-    kernel core({.program = "cyclamen-entry", .instance = values.text("process", "instance")});
+    kernel core(kernel_options_of(values, "cyclamen-entry"));
     add_common_services(core, values, {});
     core.add(std::make_unique<entry_dispatcher>(
         core, entry_dispatcher_options{
@@ -109,7 +120,8 @@
     core.add(std::make_unique<caller_server>(
         core, caller_server_options{.listen = address_in(values, "caller", "listen"),
                                     .http = {.max_body_bytes = static_cast<std::size_t>(
-                                                 values.integer("caller", "most_body_bytes"))},
+                                                 values.integer("caller", "most_body_bytes")),
+                                             .clients = &core.clients()},
                                     .default_deadline =
                                         millis_in(values, "caller", "default_deadline_ms"),
                                     .stop_grace = millis_in(values, "caller", "stop_grace_ms")}));
@@ -118,7 +130,7 @@
 
 int serve_agent(const settings_values& values)
 {
-    kernel core({.program = "cyclamen-agent", .instance = values.text("process", "instance")});
+    kernel core(kernel_options_of(values, "cyclamen-agent"));
     const bool plain = values.text("backend", "kind") == "plain";
     add_common_services(core, values, address_in(values, "peer", "listen").endpoint());
     // Agents of plain services claim idempotency keys in the log.
--- a/Source/http_server.cpp
+++ b/Source/http_server.cpp
@@ -11,14 +11,22 @@
 #include <event2/keyvalq_struct.h>
 #include <fmt/format.h>
 #include <poll.h>
+#include <sys/socket.h>
 
+#include <algorithm>
+#include <limits>
 #include <stdexcept>
+#include <utility>
 
 namespace cyclamen {
 
 namespace {
 
 constexpr int http_internal_error = 500;
+// Bytes that are read of further requests while one is open.
+constexpr std::size_t max_bytes_ahead = 65536;
+constexpr std::string_view refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+                                     "Content-Length: 0\r\nConnection: close\r\n\r\n";
 constexpr ev_uint16_t allowed_methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
                                         EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH;
 
@@ -50,11 +58,46 @@
 
 } // namespace
 
+// Connection of a client from its acceptance to its end.
+struct http_server::client {
+    http_server* server;
+    bufferevent* transport;
+    connection_limiter::connection usage;
+    evhttp_connection* connection = nullptr;
+    http_exchange::exchange_tracker* request = nullptr; // the open one
+    std::size_t moved_bytes = 0; // of the current request, from the input to the request
+    bool unwanted = false;
+
+    client(http_server* owner, bufferevent* accepted)
+        : server(owner), transport(accepted),
+          usage(owner->limiter_, [this](client_closing reason) { server->close(*this, reason); })
+    {
+    }
+
+    void limit_input(std::size_t bytes) const
+    {
+        bufferevent_setwatermark(transport, EV_READ, 0, bytes);
+    }
+
+    void count_memory()
+    {
+        const std::size_t input =
+            evbuffer_get_length(bufferevent_get_input(transport)) + moved_bytes;
+        // More than a request may have is read and dropped.
+        usage.set_bytes(std::min(input, server->max_request_bytes_ + max_bytes_ahead) +
+                        evbuffer_get_length(bufferevent_get_output(transport)));
+        if (server->limiter_.memory_short()) {
+            event_active(server->deferred_, 0, 0);
+        }
+    }
+};
+
 // Tracks one request until its response is sent or its connection closes.
 struct http_exchange::exchange_tracker {
     http_server* server = nullptr;
     evhttp_request* request = nullptr;
     std::weak_ptr<http_exchange> exchange;
+    http_server::client* client = nullptr;
 
     static void on_complete(evhttp_request* request, void* user)
     {
@@ -62,12 +105,16 @@
         --self->server->open_;
         self->server->delimited_.erase(request);
         set_reset_on_close(socket_of(request), false);
-        evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
+        self->client->request = nullptr;
+        self->client->moved_bytes = 0;
+        self->client->usage.set_busy(false);
+        self->client->limit_input(self->server->max_request_bytes_);
+        self->client->count_memory();
     }
 
-    static void on_close(evhttp_connection* /*connection*/, void* user)
+    static void on_close(exchange_tracker* closed)
     {
-        const std::unique_ptr<exchange_tracker> self(static_cast<exchange_tracker*>(user));
+        const std::unique_ptr<exchange_tracker> self(closed);
         --self->server->open_;
         self->server->delimited_.erase(self->request);
         const auto locked = self->exchange.lock();
@@ -88,7 +135,8 @@
     evbuffer* input = evhttp_request_get_input_buffer(request);
     const std::size_t length = evbuffer_get_length(input);
     if (length > 0) {
-        body_.assign(reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), length);
+        body_.resize(length);
+        evbuffer_remove(input, body_.data(), length);
     }
 }
 
@@ -242,7 +290,13 @@
 
 http_server::http_server(event_base* loop, const net_address& address, http_server_options options,
                          handler on_request)
-    : http_(evhttp_new(loop)), on_request_(std::move(on_request))
+    : unlimited_memory_(std::numeric_limits<std::size_t>::max()),
+      unlimited_(unlimited_memory_, {.max_connections = std::numeric_limits<std::size_t>::max()}),
+      limiter_(options.clients == nullptr ? unlimited_ : *options.clients),
+      // A chunk stays in the input until it is complete.
+      max_request_bytes_(options.max_body_bytes + options.max_header_bytes + max_bytes_ahead),
+      deferred_(event_new(loop, -1, 0, &http_server::on_deferred, this)), http_(evhttp_new(loop)),
+      on_request_(std::move(on_request))
 {
     evhttp_set_allowed_methods(http_, allowed_methods);
     evhttp_set_max_body_size(http_, static_cast<ev_ssize_t>(options.max_body_bytes));
@@ -257,6 +311,7 @@
     listener_ = evhttp_bind_socket_with_handle(http_, address.host.c_str(), address.port);
     if (listener_ == nullptr) {
         evhttp_free(http_);
+        event_free(deferred_);
         throw std::runtime_error(fmt::format(
             "cannot listen at {}: the address must belong to this machine and its port must be "
             "free",
@@ -269,7 +324,9 @@
     for (evhttp_request* request : delimited_) {
         reset_connection(socket_of(request));
     }
+    on_accepted();
     evhttp_free(http_);
+    event_free(deferred_);
 }
 
 bool http_server::try_close_listener()
@@ -294,16 +351,94 @@
 
 bufferevent* http_server::on_accept(event_base* loop, void* user)
 {
-    static_cast<http_server*>(user)->last_transfer_ = std::chrono::steady_clock::now();
+    auto* server = static_cast<http_server*>(user);
+    server->last_transfer_ = std::chrono::steady_clock::now();
+    server->on_accepted();
+    const bool has_room = server->limiter_.make_room();
     bufferevent* connection = bufferevent_socket_new(loop, -1, 0);
-    evbuffer_add_cb(bufferevent_get_input(connection), &http_server::on_transfer, user);
-    evbuffer_add_cb(bufferevent_get_output(connection), &http_server::on_transfer, user);
+    auto added = std::make_unique<client>(server, connection);
+    added->unwanted = !has_room;
+    added->limit_input(server->max_request_bytes_);
+    evbuffer_add_cb(bufferevent_get_input(connection), &http_server::on_input, added.get());
+    evbuffer_add_cb(bufferevent_get_output(connection), &http_server::on_output, added.get());
+    server->accepted_.push_back(added.get());
+    server->clients_[connection] = std::move(added);
+    event_active(server->deferred_, 0, 0);
     return connection;
 }
 
-void http_server::on_transfer(evbuffer* /*buffer*/, const evbuffer_cb_info* /*change*/, void* user)
+// evhttp gives its connection only as the argument of the callbacks, after `on_accept`.
+void http_server::on_accepted()
 {
-    static_cast<http_server*>(user)->last_transfer_ = std::chrono::steady_clock::now();
+    for (client* added : accepted_) {
+        void* connection = nullptr;
+        bufferevent_getcb(added->transport, nullptr, nullptr, nullptr, &connection);
+        added->connection = static_cast<evhttp_connection*>(connection);
+        evhttp_connection_set_closecb(added->connection, &http_server::on_client_closed, added);
+    }
+    accepted_.clear();
+}
+
+void http_server::on_deferred(int /*socket*/, short /*what*/, void* user)
+{
+    auto* server = static_cast<http_server*>(user);
+    const std::vector<client*> accepted = server->accepted_;
+    server->on_accepted();
+    for (client* added : accepted) {
+        if (added->unwanted) {
+            evhttp_connection_free(added->connection);
+        }
+    }
+    server->limiter_.release_memory();
+}
+
+void http_server::close(client& closed, client_closing /*reason*/)
+{
+    on_accepted();
+    const bool response_sent = evbuffer_get_length(bufferevent_get_output(closed.transport)) == 0;
+    if (closed.usage.bytes() > 0 && response_sent) {
+        // Tells a client that sends a request that it was not executed, as far as the socket takes
+        // it now.
+        static_cast<void>(::send(bufferevent_getfd(closed.transport), refusal.data(),
+                                 refusal.size(), MSG_DONTWAIT | MSG_NOSIGNAL));
+    }
+    bufferevent* transport = closed.transport;
+    evhttp_connection_free(closed.connection);
+    clients_.erase(transport); // if evhttp did not call `on_client_closed`
+}
+
+void http_server::on_client_closed(evhttp_connection* /*connection*/, void* user)
+{
+    auto* closed = static_cast<client*>(user);
+    if (closed->request != nullptr) {
+        http_exchange::exchange_tracker::on_close(std::exchange(closed->request, nullptr));
+    }
+    evbuffer_remove_cb(bufferevent_get_input(closed->transport), &http_server::on_input, closed);
+    evbuffer_remove_cb(bufferevent_get_output(closed->transport), &http_server::on_output, closed);
+    closed->server->clients_.erase(closed->transport);
+}
+
+void http_server::on_input(evbuffer* /*buffer*/, const evbuffer_cb_info* change, void* user)
+{
+    auto* from = static_cast<client*>(user);
+    from->server->last_transfer_ = std::chrono::steady_clock::now();
+    if (change->n_added > 0) {
+        from->usage.on_progress();
+    }
+    if (from->request == nullptr) {
+        from->moved_bytes += change->n_deleted;
+    }
+    from->count_memory();
+}
+
+void http_server::on_output(evbuffer* /*buffer*/, const evbuffer_cb_info* change, void* user)
+{
+    auto* to = static_cast<client*>(user);
+    to->server->last_transfer_ = std::chrono::steady_clock::now();
+    if (change->n_deleted > 0) {
+        to->usage.on_progress();
+    }
+    to->count_memory();
 }
 
 void http_server::on_evhttp_request(evhttp_request* request, void* user)
@@ -320,8 +455,14 @@
     http_exchange::exchange_tracker* raw =
         tracker.release(); // freed by whichever of its two callbacks runs
     evhttp_request_set_on_complete_cb(request, &http_exchange::exchange_tracker::on_complete, raw);
-    evhttp_connection_set_closecb(evhttp_request_get_connection(request),
-                                  &http_exchange::exchange_tracker::on_close, raw);
+    client& from = *server->clients_.at(
+        evhttp_connection_get_bufferevent(evhttp_request_get_connection(request)));
+    raw->client = &from;
+    from.request = raw;
+    from.moved_bytes = exchange->body().size();
+    from.usage.set_busy(true);
+    from.limit_input(max_bytes_ahead);
+    from.count_memory();
     if (!contain_errors("request", [&] { server->on_request_(exchange); })) {
         exchange->end_after_error();
     }
--- a/Source/http_server.h
+++ b/Source/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection_limiter.h"
 #include "http_message.h"
 #include "net_address.h"
 #include "time_types.h"
@@ -16,6 +17,7 @@
 struct bufferevent;
 struct evbuffer;
 struct evbuffer_cb_info;
+struct event;
 struct event_base;
 struct evhttp;
 struct evhttp_bound_socket;
@@ -91,6 +93,8 @@
     std::size_t max_body_bytes = 4194304;
     std::size_t max_header_bytes = 16384;
     millis idle_timeout = 120000ms; // rounded down to whole seconds
+    /// Limits that hold for all servers of the process; null: no limits. Outlives the server.
+    connection_limiter* clients = nullptr;
 };
 
 /// HTTP/1.1 server that runs on a libevent loop. Owned by a service.
@@ -122,10 +126,23 @@
 
 private:
     friend class http_exchange;
+    struct client;
+    void on_accepted();
+    void close(client& closed, client_closing reason);
+    static void on_deferred(int socket, short what, void* user);
+    static void on_client_closed(evhttp_connection* connection, void* user);
     static void on_evhttp_request(evhttp_request* request, void* user);
     static bufferevent* on_accept(event_base* loop, void* user);
-    static void on_transfer(evbuffer* buffer, const evbuffer_cb_info* change, void* user);
-
+    static void on_input(evbuffer* buffer, const evbuffer_cb_info* change, void* user);
+    static void on_output(evbuffer* buffer, const evbuffer_cb_info* change, void* user);
+
+    memory_budget unlimited_memory_;
+    connection_limiter unlimited_;
+    connection_limiter& limiter_;
+    std::size_t max_request_bytes_;
+    std::map<bufferevent*, std::unique_ptr<client>> clients_;
+    std::vector<client*> accepted_; // whose evhttp connection is not known yet
+    event* deferred_;               // ends connections outside of the callbacks of libevent
     evhttp* http_;
     evhttp_bound_socket* listener_ = nullptr;
     std::chrono::steady_clock::time_point last_transfer_ = std::chrono::steady_clock::now();
--- a/Source/kernel.cpp
+++ b/Source/kernel.cpp
@@ -6,6 +6,7 @@
 
 #include <event2/event.h>
 #include <nlohmann/json.hpp>
+#include <sys/resource.h>
 
 #include <csignal>
 #include <ctime>
@@ -25,6 +26,12 @@
 constexpr millis logged_loop_delay = 100ms;
 constexpr int forced_stop_status = 3;
 
+std::size_t descriptor_limit()
+{
+    rlimit limit{};
+    return getrlimit(RLIMIT_NOFILE, &limit) == 0 ? static_cast<std::size_t>(limit.rlim_cur) : 1024;
+}
+
 void on_stop_signal(evutil_socket_t /*signal*/, short /*what*/, void* user)
 {
     static_cast<kernel*>(user)->stop();
@@ -99,8 +106,13 @@
       random_(options_.random_seed != 0
                   ? options_.random_seed
                   : (std::uint64_t{std::random_device{}()} << 32U) ^ std::random_device{}()),
-      incarnation_(random_() | 1U), memory_(options_.connection_bytes)
+      incarnation_(random_() | 1U), memory_(options_.connection_bytes),
+      clients_(memory_, {.max_connections =
+                             connections_within(descriptor_limit(), options_.client_connections)})
 {
+    clients_.on_closing = [this](client_closing reason, std::size_t bytes) {
+        on_client_closing(reason, bytes);
+    };
     static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
     for (const int number : {SIGTERM, SIGINT}) {
         event* handle = evsignal_new(loop_, number, on_stop_signal, this);
@@ -114,6 +126,13 @@
     log_flush_ = every(log_flush_interval, [this] { on_log_flush(); });
 }
 
+void kernel::on_client_closing(client_closing reason, std::size_t bytes)
+{
+    ++metrics_.named(fmt::format("clients_closed_for_{}", name_of(reason)));
+    log_event(event_id::client_closed, "reason={} bytes={} connections={} held_bytes={}",
+              name_of(reason), bytes, clients_.connections(), memory_.used());
+}
+
 kernel::~kernel()
 {
     idle_check_ = timer();
@@ -229,7 +248,9 @@
     nlohmann::json dump{{"program", options_.program},
                         {"instance", options_.instance},
                         {"incarnation", incarnation_},
-                        {"stopping", stopping_}};
+                        {"stopping", stopping_},
+                        {"client_connections", clients_.connections()},
+                        {"held_bytes", memory_.used()}};
     for (const auto& registered : services_) {
         dump["services"][std::string(registered->name())] = registered->describe();
     }
--- a/Source/kernel.h
+++ b/Source/kernel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection_limiter.h"
 #include "counters.h"
 #include "latency_histograms.h"
 #include "memory_budget.h"
@@ -27,6 +28,8 @@
     std::uint64_t random_seed = 0; // 0: seeded from the system
     std::size_t connection_bytes =
         67108864; // that all connections hold together, see memory_budget
+    /// Most connections of clients; lowered to what the limit of file descriptors leaves.
+    std::size_t client_connections = connection_limiter_options{}.max_connections;
 };
 
 /// Core of a process: the event loop, the registry of services, timers, random numbers,
@@ -88,6 +91,8 @@
 
     /// The bytes that all connections hold together.
     memory_budget& memory() { return memory_; }
+    /// The connections of clients of all HTTP servers.
+    connection_limiter& clients() { return clients_; }
     counters& metrics() { return metrics_; }
     latency_histogram& latency(const std::string& name) { return latencies_.named(name); }
     /// Counters and histograms in the Prometheus text format.
@@ -105,12 +110,14 @@
     service& lookup(std::string_view name);
     void check_idle();
     void on_log_flush();
+    void on_client_closing(client_closing reason, std::size_t bytes);
 
     kernel_options options_;
     event_base* loop_;
     std::mt19937_64 random_;
     std::uint64_t incarnation_;
     memory_budget memory_;
+    connection_limiter clients_;
     counters metrics_;
     latency_histograms latencies_;
     timer log_flush_;
--- a/Source/operator_server.cpp
+++ b/Source/operator_server.cpp
@@ -49,7 +49,8 @@
     if (options_.accepts_commands) {
         commands_ = &core_.find<command_executor>("commands");
     }
-    server_ = std::make_unique<http_server>(core_.loop(), options_.listen, http_server_options{},
+    server_ = std::make_unique<http_server>(core_.loop(), options_.listen,
+                                            http_server_options{.clients = &core_.clients()},
                                             [this](const exchange& caller) { on_request(caller); });
 }
 
--- a/Source/program_settings.cpp
+++ b/Source/program_settings.cpp
@@ -68,6 +68,12 @@
             "configuration", "snapshot_age_s", 1800, 1, 86400,
             "age of the last snapshot at which a new one is due, s; keep it under half of "
             "the log's retention"),
+        integer_setting("clients", "memory_mb", 64, 8, 16384,
+                        "memory that all connections hold together, MB; unfinished requests of "
+                        "clients are closed from three quarters of it"),
+        integer_setting("clients", "connections", 10000, 16, 1000000,
+                        "maximum number of connections of HTTP clients; lowered to what the limit "
+                        "of file descriptors leaves"),
         text("operators", "*", "",
              "SHA-256, in hexadecimal, of the key of the operator with this name"),
     };
--- a/Source/status_server.cpp
+++ b/Source/status_server.cpp
@@ -19,10 +19,10 @@
 void status_server::start()
 {
     readiness_ = std::make_unique<http_server>(
-        core_.loop(), options_.readiness, http_server_options{},
+        core_.loop(), options_.readiness, http_server_options{.clients = &core_.clients()},
         [this](const std::shared_ptr<http_exchange>& exchange) { on_readiness(exchange); });
     metrics_ = std::make_unique<http_server>(
-        core_.loop(), options_.metrics, http_server_options{},
+        core_.loop(), options_.metrics, http_server_options{.clients = &core_.clients()},
         [this](const std::shared_ptr<http_exchange>& exchange) { on_metrics(exchange); });
 }
 
