--- a/Tests/EntryProcess/entry_process.cpp
+++ b/Tests/EntryProcess/entry_process.cpp
@@ -68,6 +68,10 @@
 
 void entry_process::write_settings(double load_multiple) const
 {
+    json limits{{"MemoryMb", options_.memory_mb}};
+    if (options_.max_fds > 0) {
+        limits["MaxFds"] = options_.max_fds;
+    }
     const json document{{"NodeName", options_.name},
                         {"Zone", "z1"},
                         {"Ip", options_.ip},
@@ -77,7 +81,7 @@
                         {"PortRange", {7000, 7010}},
                         {"Seeds", json::array()},
                         {"HeartbeatMs", 1000},
-                        {"Limits", {{"MemoryMb", options_.memory_mb}}},
+                        {"Limits", limits},
                         {"Bounds",
                          {{"GraceS", options_.grace.count()},
                           {"RetryBudgetRatio", 0.2},
--- a/Tests/EntryProcess/entry_process.h
+++ b/Tests/EntryProcess/entry_process.h
@@ -28,6 +28,7 @@
     std::filesystem::path folder; // of its settings and its log
     std::chrono::seconds grace{8};
     std::size_t memory_mb = 260;
+    std::size_t max_fds = 0; // `Limits.MaxFds`; 0: not in the settings
 };
 
 /// The platform's entry as a process with an address and files of its own.
