Bound memory and descriptors against crowds of clients

Cause: the budget counted the length of bodies and not their capacity, growing strings left heap blocks of each size behind, up to 64 KB per connection were read ahead, whoever read next was refused while stalled bodies kept their memory, and Limits.MaxFds was not read.

Change: capacity, both copies of the head, read-ahead and bodies in transfer count; bodies grow by half after asking the budget; stalled bodies are given up first, for memory and for connections (event 1709); callers and connections to servers stay under MaxFds less a reserve.

--- a/Source/caller_connection.cpp
+++ b/Source/caller_connection.cpp
@@ -23,7 +23,7 @@
 namespace {
 
 // Read-ahead limit; further pipelined requests stay in the socket's receive buffer.
-constexpr std::size_t read_ahead_bytes = 65536;
+constexpr std::size_t read_ahead_bytes = 8192;
 // How long to wait for the caller to close its side of the connection. Closing a socket with unread
 // bytes resets the connection, and the caller could lose the response.
 constexpr millis linger_time = 1000ms;
@@ -57,7 +57,7 @@
     : core_(core), hooks_(std::move(callbacks)),
       reader_(http_message_type::request,
               {.on_head = [this](http_head& head) { on_head_received(head); },
-               .on_body = [this](std::string_view data) { body_.append(data); }}),
+               .on_body = [this](std::string_view data) { append_body(data); }}),
       memory_(core.memory())
 {
     const int on = 1;
@@ -70,6 +70,7 @@
                       &caller_connection::event, this);
     bufferevent_setwatermark(channel_, EV_READ, 0, read_ahead_bytes);
     bufferevent_enable(channel_, EV_READ | EV_WRITE);
+    progress_at_ = core_.now();
     start_timer(hooks_.limits().idle_timeout);
 }
 
@@ -134,12 +135,13 @@
             {reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(length))),
              length});
         evbuffer_drain(input, used);
+        progress_at_ = core_.now();
         if (reader_.parse_error() != http_parse_error::none) {
             fail(reader_.parse_error());
             return;
         }
         count_memory();
-        if (!fits_memory()) {
+        if (body_memory_short_ || !fits_memory()) {
             refuse_unread({.status = unavailable,
                            .reason = "out_of_memory",
                            .retry_after = core_.jittered(memory_retry_after)});
@@ -178,7 +180,6 @@
         started_at_ = core_.now();
     }
     keep_alive_ = keep_alive_ && head.keep_alive;
-    body_.reserve(std::min<std::uint64_t>(head.length.value_or(0), hooks_.limits().body_bytes));
     const bool body_follows = head.chunked || (head.length && *head.length > 0);
     if (body_follows && header_names_equal(head.header_or("Expect", ""), "100-continue")) {
         constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -188,7 +189,71 @@
 
 void caller_connection::count_memory()
 {
-    memory_.set(reader_.head_size() + body_.size() + unsent_bytes());
+    const std::size_t heads = head_received_ ? 2 : 1; // the parser keeps its own
+    const std::size_t unread =
+        channel_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_input(channel_));
+    memory_.set(heads * reader_.head_size() + body_.capacity() + unread + unsent_bytes());
+}
+
+void caller_connection::append_body(std::string_view data)
+{
+    const std::size_t needed = body_.size() + data.size();
+    if (body_memory_short_ || (needed > body_.capacity() && !reserve_body(needed))) {
+        body_memory_short_ = true;
+        return;
+    }
+    body_.append(data);
+}
+
+// Grows by half, so that the unused part stays small, and asks the budget before memory is taken.
+bool caller_connection::reserve_body(std::size_t needed)
+{
+    const std::size_t most = request_.length.value_or(hooks_.limits().body_bytes);
+    const std::size_t held = body_.capacity();
+    const std::size_t capacity = std::max(needed, std::min(most, held + held / 2));
+    const std::size_t growth = capacity - held;
+    const memory_budget& memory = core_.memory();
+    if (needed > least_body_bytes && memory.used() + growth > memory.limit()) {
+        if (hooks_.make_room) {
+            hooks_.make_room(growth);
+        }
+        if (memory.used() + growth > memory.limit()) {
+            return false;
+        }
+    }
+    body_.reserve(capacity);
+    count_memory();
+    return true;
+}
+
+client_candidate caller_connection::candidate() const
+{
+    client_candidate result{.progress_at = progress_at_, .held_bytes = body_.capacity()};
+    if (state_ != stage::reading || channel_ == nullptr) {
+        return result;
+    }
+    if (reader_.message_started()) {
+        result.activity = client_activity::reading;
+    }
+    else if (!output_pending_) {
+        result.activity = client_activity::idle;
+    }
+    if (result.activity != client_activity::busy && unread_bytes() > 0) {
+        result.activity = client_activity::busy;
+    }
+    return result;
+}
+
+void caller_connection::give_up(const relay_refusal& refusal)
+{
+    if (state_ != stage::reading) {
+        return;
+    }
+    if (reader_.message_started()) {
+        refuse_unread(refusal);
+        return;
+    }
+    close();
 }
 
 bool caller_connection::fits_memory() const
@@ -293,6 +358,8 @@
     state_ = stage::reading;
     request_ = {};
     body_ = std::string(); // `{}` would keep its memory
+    body_memory_short_ = false;
+    progress_at_ = core_.now();
     head_received_ = false;
     started_at_ = 0ms;
     reader_.next();
@@ -425,9 +492,14 @@
                   close_announced_);
     }
     if (channel_ != nullptr) {
+        // libevent frees it later, but connections accepted meanwhile need the descriptor.
+        const evutil_socket_t socket = bufferevent_getfd(channel_);
+        bufferevent_setfd(channel_, -1);
+        evutil_closesocket(socket);
         bufferevent_free(channel_);
         channel_ = nullptr;
     }
+    body_ = std::string();
     memory_.set(0);
     hooks_.on_closed(*this);
 }
--- a/Source/caller_connection.h
+++ b/Source/caller_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "client_limits.h"
 #include "http_message.h"
 #include "http_reader.h"
 #include "kernel.h"
@@ -43,6 +44,9 @@
         std::function<void(caller_connection& connection)> on_request;
         /// Called before a malformed, oversized or timed-out request is refused.
         std::function<void(caller_connection& connection, const relay_refusal& refusal)> on_refused;
+        /// Frees memory that requests without progress hold, if set, until `bytes` more fit into
+        /// the budget.
+        std::function<void(std::size_t bytes)> make_room;
         /// Called when the connection has closed. The callee must not destroy it within this call.
         std::function<void(caller_connection& connection)> on_closed;
     };
@@ -88,6 +92,11 @@
     /// each later response.
     void close_when_idle(millis idle_time);
 
+    /// Returns what the connection does.  Bytes that wait in the socket count as progress now.
+    client_candidate candidate() const;
+    /// Refuses a request that has not been read completely, or closes an idle connection.
+    void give_up(const relay_refusal& refusal);
+
     /// Closes the connection if the caller has closed its side, which the event loop may not have
     /// handled yet after a busy period, and calls `on_disconnected`.  Returns whether it has.
     bool close_if_caller_left();
@@ -113,6 +122,8 @@
     void read();
     void count_memory();
     bool fits_memory() const;
+    void append_body(std::string_view data);
+    bool reserve_body(std::size_t needed);
     void discard_input();
     void on_head_received(const http_head& head);
     void fail(http_parse_error parse_error);
@@ -137,6 +148,8 @@
     std::string body_;
     memory_budget::share memory_;
     millis started_at_{0};
+    millis progress_at_{0};          // when bytes last arrived or a response ended
+    bool body_memory_short_ = false; // the budget has no room for the rest of the body
     bool head_received_ = false;
     bool keep_alive_ = true;
     bool chunked_ = false;
--- a/Source/event_log.cpp
+++ b/Source/event_log.cpp
@@ -152,6 +152,7 @@
         {event_id::request_unreadable, severity::info, "request_unreadable"},
         {event_id::callers_closing, severity::info, "callers_closing"},
         {event_id::input_discarded, severity::info, "input_discarded"},
+        {event_id::caller_given_up, severity::info, "caller_given_up"},
         {event_id::configuration_taken, severity::info, "configuration_taken"},
         {event_id::backend_listed, severity::info, "backend_listed"},
         {event_id::backend_gone, severity::info, "backend_gone"},
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -62,6 +62,7 @@
     request_unreadable = 1706,
     callers_closing = 1707,
     input_discarded = 1708,
+    caller_given_up = 1709,
     configuration_taken = 1801,
     backend_listed = 1802,
     backend_gone = 1803,
@@ -96,7 +97,7 @@
     std::string_view name;
 };
 
-inline constexpr std::size_t event_count = 66;
+inline constexpr std::size_t event_count = 67;
 
 /// Catalogue of all events, sorted by number.
 const std::array<event_description, event_count>& event_catalogue();
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -43,13 +43,26 @@
     return is_event_stream(head.header_or("Content-Type", ""));
 }
 
+// Counts a request's body until its last holder, which may be a socket's output, releases it.
+struct counted_body {
+    std::string text;
+    memory_budget::share memory;
+};
+
+std::shared_ptr<const std::string> count_body(std::string text, memory_budget& memory)
+{
+    auto counted = std::make_shared<counted_body>(std::move(text), memory_budget::share(memory));
+    counted->memory.set(counted->text.capacity());
+    const std::string* body = &counted->text;
+    return {std::move(counted), body};
+}
+
 } // namespace
 
 relay_exchange::relay_exchange(const relay_context& context, caller_connection& caller,
                                std::function<void(relay_exchange&)> on_end)
     : context_(context), caller_(&caller), on_end_(std::move(on_end)),
-      table_(context.state.routes()),
-      body_(std::make_shared<const std::string>(caller.take_body())),
+      table_(context.state.routes()), body_(count_body(caller.take_body(), context.core.memory())),
       memory_(context.core.memory()), started_at_(caller.started_at())
 {
     count_memory();
@@ -552,8 +565,7 @@
 
 void relay_exchange::count_memory()
 {
-    memory_.set((body_ == nullptr ? 0 : body_->size()) + untold_events_.size() + held_body_.size() +
-                events_.partial().size());
+    memory_.set(untold_events_.capacity() + held_body_.capacity() + events_.partial().size());
 }
 
 void relay_exchange::forward_body(std::string_view ready)
--- a/Source/relay_server.cpp
+++ b/Source/relay_server.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <iterator>
 #include <set>
 #include <stdexcept>
 
@@ -18,6 +19,11 @@
 namespace {
 
 constexpr millis sweep_interval = 250ms;
+// Unfinished bodies that hold less are no use to others.
+constexpr std::size_t least_freed_bytes = 16384;
+// Mean Retry-After of requests that are given up or refused for others.
+constexpr millis crowded_retry_after = 500ms;
+constexpr int unavailable = 503;
 // Connections waiting to be accepted.  If the backlog is full, a caller's first packet is dropped
 // and retransmitted only after a second or more.
 constexpr int listen_backlog = 1024;
@@ -107,7 +113,7 @@
 
 void relay_server::accept(int socket)
 {
-    if (callers_.size() >= options_.max_callers) {
+    if (callers_.size() >= options_.max_callers || !make_connection_room()) {
         ++core_.metrics().named("callers_turned_away");
         evutil_closesocket(socket);
         return;
@@ -128,6 +134,7 @@
                     log_event(event_id::request_unreadable, "status={} reason={}", why.status,
                               why.reason);
                 },
+            .make_room = [this](std::size_t bytes) { make_memory_room(bytes); },
             .on_closed =
                 [this](caller_connection& from) {
                     const auto found = callers_.find(&from);
@@ -145,6 +152,74 @@
     callers_[key].connection = std::move(connection);
 }
 
+std::vector<client_candidate> relay_server::candidates() const
+{
+    std::vector<client_candidate> result;
+    result.reserve(callers_.size());
+    for (const auto& [key, caller_state] : callers_) {
+        result.push_back(key->candidate());
+    }
+    return result;
+}
+
+// Gives up the caller with this index in `clients`.
+void relay_server::give_up(const std::vector<client_candidate>& clients, std::size_t index,
+                           const std::string& reason)
+{
+    log_event(event_id::caller_given_up, "reason={} quiet_ms={}", reason,
+              (core_.now() - clients[index].progress_at).count());
+    std::next(callers_.begin(), static_cast<std::ptrdiff_t>(index))
+        ->first->give_up({.status = unavailable,
+                          .reason = reason,
+                          .retry_after = core_.jittered(crowded_retry_after)});
+}
+
+void relay_server::make_memory_room(std::size_t bytes)
+{
+    memory_budget& memory = core_.memory();
+    while (memory.used() + bytes > memory.limit()) {
+        const std::vector<client_candidate> clients = candidates();
+        const auto found = longest_stalled(clients, core_.now(), least_freed_bytes);
+        if (!found) {
+            return;
+        }
+        ++core_.metrics().named("requests_given_up_for_memory");
+        give_up(clients, *found, "out_of_memory");
+    }
+}
+
+std::size_t relay_server::open_connections() const
+{
+    std::size_t exchanges = 0;
+    for (const auto& [key, caller_state] : callers_) {
+        exchanges += caller_state.exchange != nullptr ? 1 : 0;
+    }
+    return callers_.size() + exchanges + connections_.idle();
+}
+
+// Closes connections that others need more until one more fits.  Returns whether it does.
+bool relay_server::make_connection_room()
+{
+    if (options_.max_connections == 0 || open_connections() < options_.max_connections) {
+        return true;
+    }
+    connections_.evict_expired({});
+    if (open_connections() < options_.max_connections) {
+        return true;
+    }
+    const std::vector<client_candidate> clients = candidates();
+    auto found = longest_idle(clients);
+    if (!found) {
+        found = longest_stalled(clients, core_.now(), 0);
+    }
+    if (!found) {
+        return false;
+    }
+    ++core_.metrics().named("callers_given_up_for_others");
+    give_up(clients, *found, "out_of_connections");
+    return open_connections() < options_.max_connections;
+}
+
 // Closing the listener would reset the connections that wait to be accepted.
 void relay_server::accept_pending()
 {
@@ -164,6 +239,14 @@
 void relay_server::on_request(caller_connection& from)
 {
     ++core_.metrics().named("requests_taken");
+    if (!make_connection_room()) {
+        ++core_.metrics().named("requests_refused_for_connections");
+        from.close_after_response();
+        from.refuse({.status = unavailable,
+                     .reason = "out_of_connections",
+                     .retry_after = core_.jittered(crowded_retry_after)});
+        return;
+    }
     auto exchange = std::make_unique<relay_exchange>(
         *context_, from, [this, key = &from](relay_exchange& ended) {
             const auto found = callers_.find(key);
--- a/Source/relay_server.h
+++ b/Source/relay_server.h
@@ -33,6 +33,9 @@
 struct relay_server_options {
     net_address listen;
     std::size_t max_callers = 2500; // open connections; further ones are closed on accept
+    // Open connections to callers and backend servers together; 0: not bounded.  Idle ones are
+    // closed for further ones.
+    std::size_t max_connections = 0;
     // Time from reporting "not ready" until the listening socket closes: the load balancer needs
     // it to notice and to stop sending new connections.  Later connections are refused, so that
     // their callers use another entry at once.
@@ -80,6 +83,12 @@
 
     void accept(int socket);
     void accept_pending();
+    std::vector<client_candidate> candidates() const;
+    void make_memory_room(std::size_t bytes);
+    bool make_connection_room();
+    void give_up(const std::vector<client_candidate>& clients, std::size_t index,
+                 const std::string& reason);
+    std::size_t open_connections() const;
     void on_request(caller_connection& from);
     void schedule_cleanup();
     void sweep();
--- a/Tests/EntryProcess/entry_crowd_test.cpp
+++ b/Tests/EntryProcess/entry_crowd_test.cpp
@@ -10,6 +10,7 @@
 #include <gtest/gtest.h>
 #include <httplib.h>
 
+#include <array>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -307,6 +308,26 @@
     run_under([&] { crowds.emplace_back(callers(), idle_crowd_size); });
 }
 
+// Guards against giving up a body that is slow but moves, with pauses that count as stalled.
+TEST_F(entry_crowd, slow_body_is_served)
+{
+    run_under([&] {
+        const raw_socket client;
+        ASSERT_TRUE(client.connect(callers()));
+        const std::string request = plain_request(body_bytes, body_bytes);
+        constexpr std::size_t pieces = 4;
+        for (std::size_t piece = 0; piece <= pieces; ++piece) {
+            const std::size_t size = request.size() / pieces;
+            ASSERT_TRUE(client.send(std::string_view(request).substr(piece * size, size)));
+            std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+        }
+        std::array<char, 12> status{};
+        EXPECT_EQ(recv(client.handle(), status.data(), status.size(), MSG_WAITALL),
+                  static_cast<ssize_t>(status.size()));
+        EXPECT_EQ(std::string_view(status.data(), status.size()), "HTTP/1.1 200");
+    });
+}
+
 TEST_F(entry_crowd, all_together)
 {
     constexpr unsigned part = crowd_size / 5;
--- a/Utilities/update-manual.sh
+++ b/Utilities/update-manual.sh
@@ -16,7 +16,9 @@
 
 `cyclamen-platform-entry` takes no INI file: it reads the platform's JSON settings, whose
 path is in `CYCLAMENSHORE_CONFIG`, checks them in the same way, ignores fields that it does
-not know, and reads them again on SIGHUP and when the file changes.
+not know, and reads them again on SIGHUP and when the file changes.  `Limits.MemoryMb` and
+`Limits.MaxFds` bound what it holds for clients (PLATFORM, "What a request may meet"); both
+are optional, and read once, at the start.
 
 ## cyclamen-entry
 
