--- a/Source/caller_connection.cpp
+++ b/Source/caller_connection.cpp
@@ -205,27 +205,34 @@
     body_.append(data);
 }
 
-// Grows by half, so that the unused part stays small, and asks the budget before memory is taken.
+// Asks the budget before memory is taken.  A body of announced length gets all of it at once, so
+// that the bodies which are begun can also end; others grow by half.
 bool caller_connection::reserve_body(std::size_t needed)
 {
-    const std::size_t most = request_.length.value_or(hooks_.limits().body_bytes);
+    const std::size_t limit = hooks_.limits().body_bytes;
     const std::size_t held = body_.capacity();
-    const std::size_t capacity = std::max(needed, std::min(most, held + held / 2));
-    const std::size_t growth = capacity - held;
-    const memory_budget& memory = core_.memory();
-    if (needed > least_body_bytes && memory.used() + growth > memory.limit()) {
-        if (hooks_.make_room) {
-            hooks_.make_room(growth);
-        }
-        if (memory.used() + growth > memory.limit()) {
+    std::size_t capacity = request_.length ? static_cast<std::size_t>(*request_.length)
+                                           : std::max(needed, std::min(limit, held + held / 2));
+    if (capacity > least_body_bytes && !has_room(capacity - held)) {
+        if (needed > least_body_bytes) {
             return false;
         }
+        capacity = least_body_bytes;
     }
     body_.reserve(capacity);
     count_memory();
     return true;
 }
 
+bool caller_connection::has_room(std::size_t bytes) const
+{
+    const memory_budget& memory = core_.memory();
+    if (memory.used() + bytes > memory.limit() && hooks_.make_room) {
+        hooks_.make_room(bytes);
+    }
+    return memory.used() + bytes <= memory.limit();
+}
+
 client_candidate caller_connection::candidate() const
 {
     client_candidate result{.progress_at = progress_at_, .held_bytes = body_.capacity()};
--- a/Source/caller_connection.h
+++ b/Source/caller_connection.h
@@ -124,6 +124,7 @@
     bool fits_memory() const;
     void append_body(std::string_view data);
     bool reserve_body(std::size_t needed);
+    bool has_room(std::size_t bytes) const;
     void discard_input();
     void on_head_received(const http_head& head);
     void fail(http_parse_error parse_error);
