Build counted bodies with clang 14

Cause: clang 14, which clang-tidy uses, has no aggregate initialisation in parentheses, so that run-clang-tidy ended with an error in relay_exchange.cpp.

Change: the aggregate is built in braces.

Measured: cyclamen-platform-entry builds; two of the entry_crowd_tests (large chunks, all together) were run again and pass.

--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -51,7 +51,8 @@
 
 std::shared_ptr<const std::string> count_body(std::string text, memory_budget& memory)
 {
-    auto counted = std::make_shared<counted_body>(std::move(text), memory_budget::share(memory));
+    auto counted = std::make_shared<counted_body>(
+        counted_body{.text = std::move(text), .memory = memory_budget::share(memory)});
     counted->memory.set(counted->text.capacity());
     const std::string* body = &counted->text;
     return {std::move(counted), body};
