--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -63,6 +63,7 @@
     callers_closing = 1707,
     input_discarded = 1708,
     client_closed = 1709,
+    caller_given_up = 1710,
     configuration_taken = 1801,
     backend_listed = 1802,
     backend_gone = 1803,
@@ -103,7 +104,7 @@
     std::string_view name;
 };
 
-inline constexpr std::size_t event_count = 73;
+inline constexpr std::size_t event_count = 74;
 
 /// Catalogue of all events, sorted by number.
 const std::array<event_description, event_count>& event_catalogue();
