Choose servers by expected load where the settings list pressure

Entries that hold the same old figures chose the same server, so servers of plain services were overloaded in turn. load_forecast computes the expected load of a server from its last information and the age of that; the chooser draws each load from its distribution and takes the lowest expected waiting time, before all rules that applied already. The fourth figure of the load header scales it, and enables the choice by itself. The load header is read leniently.

--- a/Source/backend_chooser.cpp
+++ b/Source/backend_chooser.cpp
@@ -3,6 +3,7 @@
 #include "hashing.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cyclamen {
 
@@ -13,6 +14,9 @@
     return server.limit.per_second && now - server.limit.at < stated_limit_lifetime;
 }
 
+// Variance added to each expected load, in requests: separates servers of equal load at random.
+constexpr double tie_variance = 0.01;
+
 } // namespace
 
 std::vector<backend*> backend_chooser::order_by_load(const pool_state& pool, millis now) const
@@ -34,6 +38,101 @@
     return ordered;
 }
 
+std::optional<forecast_basis> backend_chooser::basis_of(const backend_table& table,
+                                                        const pool_state& pool,
+                                                        const std::string& service,
+                                                        millis now) const
+{
+    // Reports up to this age tell the mean, which changes more slowly than a server's load.
+    constexpr millis mean_report_age{3000};
+    bool enabled = options_.even_load;
+    double counted = 0;
+    double reported = 0;
+    unsigned reports = 0;
+    for (const backend* server : pool.servers) {
+        enabled = enabled || server->reported_load.work_percent;
+        counted += server->peer_in_flight;
+        if (now - server->reported_at < mean_report_age) {
+            const unsigned held = server->reported_load.running + server->reported_load.waiting;
+            const unsigned own = server->in_flight_at_report;
+            reported += held > own ? held - own : 0;
+            ++reports;
+        }
+    }
+    if (!enabled) {
+        return std::nullopt;
+    }
+    // The more entries choose by the same information, the more their choices must differ.  In
+    // trials, 3 entries did best without a spread and 300 with 0.3.
+    constexpr double spread_per_entry = 0.005;
+    constexpr double max_spread = 0.3;
+    // Counts of entries that can't be heard are missing, so reports may tell of more.
+    const double mean_counted = counted / static_cast<double>(pool.servers.size());
+    return forecast_basis{.mean_others = reports == 0 ? mean_counted
+                                                      : std::max(mean_counted, reported / reports),
+                          .work = work_of(service),
+                          .count_age = table.count_age(now).value_or(forecast_basis{}.count_age),
+                          .spread = std::min(max_spread, spread_per_entry * entries_)};
+}
+
+millis backend_chooser::work_of(const std::string& service) const
+{
+    const auto found = work_.find(service);
+    return found == work_.end() ? work_duration().mean() : found->second.mean();
+}
+
+// Returns a random number with the mean 0 and the variance 1, nearly normally distributed: the
+// scaled sum of four uniform ones.
+double backend_chooser::random_deviation()
+{
+    constexpr unsigned bits = 16;
+    constexpr unsigned parts = 4;
+    constexpr double variance_of_sum = parts / 12.0;
+    std::uint64_t random = combine_hashes(options_.seed, ++draws_);
+    double sum = 0;
+    for (unsigned part = 0; part < parts; ++part) {
+        sum += static_cast<double>(random & ((1U << bits) - 1)) / (1U << bits);
+        random >>= bits;
+    }
+    return (sum - parts / 2.0) / std::sqrt(variance_of_sum);
+}
+
+// Orders servers by the expected time of one more request.  Each one's load is drawn from its
+// distribution, so that entries with the same old information choose different servers.
+void backend_chooser::order_by_forecast(std::vector<backend*>::iterator first,
+                                        std::vector<backend*>::iterator last,
+                                        const forecast_basis& basis, millis now)
+{
+    std::vector<std::pair<double, backend*>> costs;
+    costs.reserve(static_cast<std::size_t>(last - first));
+    for (auto server = first; server != last; ++server) {
+        const load_forecast forecast = forecast_load(**server, basis, now);
+        const unsigned zone_penalty =
+            (*server)->entry.zone == options_.zone ? 0 : options_.remote_zone_penalty;
+        const double deviation = random_deviation() * std::sqrt(forecast.variance + tie_variance);
+        costs.emplace_back(forecast.cost(deviation + zone_penalty, (*server)->entry.slots),
+                           *server);
+    }
+    std::sort(costs.begin(), costs.end(),
+              [](const auto& left, const auto& right) { return left.first < right.first; });
+    std::transform(costs.begin(), costs.end(), first, [](const auto& cost) { return cost.second; });
+}
+
+void backend_chooser::record_even_choice(const pool_state& pool, backend_choice& choice, millis now)
+{
+    unsigned in_flight = 0;
+    unsigned least = choice.load;
+    for (const backend* server : pool.servers) {
+        in_flight += server->in_flight;
+        least = std::min(least, server->load(now));
+    }
+    work_[choice.server->entry.service].record_start(in_flight, now);
+    choice.expected_load = forecast_load(*choice.server, *pool.basis, now).load;
+    choice.information_age = known_others(*choice.server, pool.basis->count_age, now).age;
+    ++even_load_choices_.choices;
+    even_load_choices_.differing += choice.load > least ? 1 : 0;
+}
+
 std::vector<backend*> backend_chooser::order_randomly(const pool_state& pool,
                                                       std::uint64_t request_hash)
 {
@@ -70,10 +169,15 @@
 
 std::vector<backend*> backend_chooser::order_candidates(const pool_state& pool,
                                                         const backend_criteria& criteria,
-                                                        millis now) const
+                                                        millis now)
 {
     if (!criteria.placement_prefix() || options_.policy == placement_policy::least_loaded) {
-        return order_by_load(pool, now);
+        if (!pool.basis) {
+            return order_by_load(pool, now);
+        }
+        std::vector<backend*> ordered = pool.servers;
+        order_by_forecast(ordered.begin(), ordered.end(), *pool.basis, now);
+        return ordered;
     }
     if (options_.policy == placement_policy::random) {
         return order_randomly(pool, criteria.request_hash);
@@ -84,13 +188,23 @@
             return server->entry.zone == options_.zone;
         });
     }
+    auto kept_end = ordered.begin();
     if (options_.policy == placement_policy::kept && criteria.locations != nullptr) {
         const std::vector<std::uint32_t> servers_sent = criteria.locations->servers_sent(
             static_cast<std::uint32_t>(*criteria.placement_prefix()), now);
-        std::stable_partition(ordered.begin(), ordered.end(), [&](const backend* server) {
-            return std::find(servers_sent.begin(), servers_sent.end(),
-                             static_cast<std::uint32_t>(server->hash)) != servers_sent.end();
-        });
+        kept_end =
+            std::stable_partition(ordered.begin(), ordered.end(), [&](const backend* server) {
+                return std::find(servers_sent.begin(), servers_sent.end(),
+                                 static_cast<std::uint32_t>(server->hash)) != servers_sent.end();
+            });
+    }
+    if (pool.basis) {
+        // The home, or the servers that hold the prefix, come first.  Only two servers share the
+        // overflow, because each further one computes the prefix again.
+        constexpr std::ptrdiff_t overflow_servers = 2;
+        const auto first = kept_end == ordered.begin() ? std::next(kept_end) : kept_end;
+        const auto last = first + std::min(overflow_servers, ordered.end() - first);
+        order_by_forecast(first, last, *pool.basis, now);
     }
     return ordered;
 }
@@ -206,6 +320,7 @@
     pool.outcomes = pool.failures + outcomes.successes(now);
     pool.mean = table.mean_load(service.name, now);
     choice.mean = pool.mean;
+    pool.basis = basis_of(table, pool, service.name, now);
     const double margin = criteria.shared_tokens >= options_.long_prompt_tokens
                               ? options_.long_prompt_margin
                               : options_.load_margin;
@@ -297,6 +412,9 @@
     }
     if (choice.server != nullptr) {
         choice.server->health.record_attempt(now);
+        if (pool.basis) {
+            record_even_choice(pool, choice, now);
+        }
         choice.trial = table.words().begin_trial(choice.server->incarnation());
         choice.prefix_cached = has_prefix(*choice.server, criteria, now);
         choice.copy_source = find_copy_source(table, *choice.server, criteria, now);
--- a/Source/backend_chooser.h
+++ b/Source/backend_chooser.h
@@ -2,10 +2,12 @@
 
 #include "backend_table.h"
 #include "enum_names.h"
+#include "load_forecast.h"
 #include "placement.h"
 #include "prefix_locations.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -48,6 +50,10 @@
     unsigned remote_zone_penalty = 2; // requests added to the load of servers in other zones
     // Share of a cold server's admissible start rate that all entries together use.
     double cold_start_share = 0.8;
+    // Chooses by the expected load (`load_forecast`) instead of the known one.  A service whose
+    // servers report the duration of their work is treated so in any case.
+    bool even_load = false;
+    std::uint64_t seed = 0; // of the random part of that choice; differs between entries
 };
 
 /// Properties of a request that determine the choice of its backend server.
@@ -89,6 +95,10 @@
     unsigned load = 0; // requests at the chosen server, without this one
     double mean = 0;   // mean load of all servers of the service
     unsigned pool = 0; // number of servers of the service that accept requests
+    // Expected load of the chosen server and age of the information about it, without this
+    // request; empty if the known load decided.
+    std::optional<double> expected_load;
+    millis information_age{0};
 };
 
 /// Chooses the backend server for a request.  A request with a prompt goes to the first server
@@ -99,6 +109,17 @@
 public:
     explicit backend_chooser(backend_chooser_options options) : options_(std::move(options)) {}
 
+    /// Sets `backend_chooser_options::even_load`.
+    void set_even_load(bool even) { options_.even_load = even; }
+    /// Number of choices by the expected load, and how many of them took another server than the
+    /// one with the least known load.
+    struct even_load_counts {
+        std::uint64_t choices = 0;
+        std::uint64_t differing = 0;
+    };
+    const even_load_counts& even_load_choices() const { return even_load_choices_; }
+    /// Mean duration of the service's requests at this entry, as far as known.
+    millis work_of(const std::string& service) const;
     void set_load_multiple(double multiple) { options_.load_multiple = multiple; }
     /// Sets the number of entries that share the start rate of a cold server.
     void set_entries(unsigned entries) { entries_ = std::max(1U, entries); }
@@ -112,14 +133,23 @@
 
 private:
     struct pool_state {
-        std::vector<backend*> servers; // those that accept requests
-        double mean = 0;               // mean load of all servers of the service
-        double failures = 0;           // decayed number of failed requests over all servers
-        double outcomes = 0;           // decayed number of all finished requests
+        std::vector<backend*> servers;       // those that accept requests
+        double mean = 0;                     // mean load of all servers of the service
+        double failures = 0;                 // decayed number of failed requests over all servers
+        double outcomes = 0;                 // decayed number of all finished requests
+        std::optional<forecast_basis> basis; // set if the expected load decides
     };
 
+    std::optional<forecast_basis> basis_of(const backend_table& table, const pool_state& pool,
+                                           const std::string& service, millis now) const;
+    void order_by_forecast(std::vector<backend*>::iterator first,
+                           std::vector<backend*>::iterator last, const forecast_basis& basis,
+                           millis now);
+    double random_deviation();
+    void record_even_choice(const pool_state& pool, backend_choice& choice, millis now);
+
     std::vector<backend*> order_candidates(const pool_state& pool, const backend_criteria& criteria,
-                                           millis now) const;
+                                           millis now);
     std::vector<backend*> order_by_load(const pool_state& pool, millis now) const;
     static std::vector<backend*> order_by_prefix(const pool_state& pool,
                                                  std::uint64_t placement_prefix);
@@ -134,6 +164,9 @@
 
     backend_chooser_options options_;
     unsigned entries_ = 1;
+    std::uint64_t draws_ = 0;                   // random numbers drawn so far
+    std::map<std::string, work_duration> work_; // by service; only where the expected load decides
+    even_load_counts even_load_choices_;
 };
 
 } // namespace cyclamen
--- a/Source/backend_table.cpp
+++ b/Source/backend_table.cpp
@@ -223,8 +223,18 @@
 }
 
 bool backend_table::set_peer_in_flight(const std::string& entry,
-                                       std::map<std::uint32_t, unsigned> counts)
+                                       std::map<std::uint32_t, unsigned> counts,
+                                       std::optional<millis> received_at)
 {
+    const auto received = counts_received_.find(entry);
+    if (received != counts_received_.end()) {
+        counts_received_sum_ -= received->second;
+        counts_received_.erase(received);
+    }
+    if (received_at) {
+        counts_received_[entry] = *received_at;
+        counts_received_sum_ += *received_at;
+    }
     auto& known = peer_in_flight_[entry];
     if (known.empty() && counts.empty()) {
         return false;
@@ -239,6 +249,15 @@
     return true;
 }
 
+std::optional<millis> backend_table::count_age(millis now) const
+{
+    if (counts_received_.empty()) {
+        return std::nullopt;
+    }
+    const auto peers = static_cast<std::int64_t>(counts_received_.size());
+    return std::max(0ms, now - counts_received_sum_ / peers);
+}
+
 std::vector<backend_table::busy_report> backend_table::busy_to_report(millis now) const
 {
     // About the load at which the chooser skips a server; lower loads don't affect the choice.
@@ -333,7 +352,16 @@
 
 void backend_table::record_load(backend& server, const backend_load& load, millis now)
 {
+    if (load.work_percent) {
+        server.reported_load.work_percent = load.work_percent;
+        server.work_reported_at = now;
+    }
+    if (!load.counted) {
+        return;
+    }
+    const std::optional<unsigned> work_percent = server.reported_load.work_percent;
     server.reported_load = load;
+    server.reported_load.work_percent = work_percent; // ages by itself, see `reported_pace`
     server.in_flight_at_report = server.in_flight;
     server.reported_at = now;
 }
--- a/Source/backend_table.h
+++ b/Source/backend_table.h
@@ -24,6 +24,9 @@
     unsigned running = 0;
     unsigned waiting = 0;
     unsigned slots = 0;
+    // Current duration of work in per cent of the usual one; empty if the server states none.
+    std::optional<unsigned> work_percent;
+    bool counted = true; // `running` is known; otherwise only `work_percent` is
 };
 
 /// Time for which a stated limit is kept if no response repeats it, and for which its end is told
@@ -52,8 +55,9 @@
     millis lost_at{-1000000};
     millis refused_at{-1000000}; // the same of a connection that was refused
     backend_load reported_load;
-    unsigned in_flight_at_report = 0; // value of `in_flight` at `reported_at`
-    millis reported_at{-1000000};     // time of the last load report; initially long past
+    unsigned in_flight_at_report = 0;  // value of `in_flight` at `reported_at`
+    millis reported_at{-1000000};      // time of the last load report; initially long past
+    millis work_reported_at{-1000000}; // time of the last report with a duration of work
     backend_health health;
     start_rate_limit cold_starts;
     stated_limit limit;
@@ -154,8 +158,12 @@
     /// Records a report from a peer; ignored if it is not later than what is known.
     void record_limit_report(const limit_report& report, millis now);
     /// Replaces the in-flight counts of the peer `entry`, keyed by the low 32 bits of the hash of
-    /// the server's id.  Returns false if the old and the new counts are both empty.
-    bool set_peer_in_flight(const std::string& entry, std::map<std::uint32_t, unsigned> counts);
+    /// the server's id, received at the given time; without one, the peer is forgotten.  Returns
+    /// false if the old and the new counts are both empty.
+    bool set_peer_in_flight(const std::string& entry, std::map<std::uint32_t, unsigned> counts,
+                            std::optional<millis> received_at = std::nullopt);
+    /// Mean age of the peers' counts; empty if there are none.
+    std::optional<millis> count_age(millis now) const;
 
     /// Load that a server reported to this entry or to a peer.
     struct busy_report {
@@ -206,6 +214,8 @@
     mutable std::unordered_map<std::string, std::vector<backend*>> pools_;    // by service
     std::unordered_map<std::string, backend_health> outcomes_;                // by service
     std::map<std::string, std::map<std::uint32_t, unsigned>> peer_in_flight_; // by peer
+    std::unordered_map<std::string, millis> counts_received_;                 // by peer
+    millis counts_received_sum_{0};                                           // sum of these times
     std::unordered_map<std::uint32_t, unsigned> peer_in_flight_sums_; // by server, over all peers
     // By peer, then by server.
     std::map<std::string, std::unordered_map<std::uint32_t, backend_health>> peer_outcomes_;
--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -480,7 +480,7 @@
     for (const wire::backend_count& row : digest.in_flight()) {
         counts[row.backend()] = row.count();
     }
-    state_->backends().set_peer_in_flight(address, std::move(counts));
+    state_->backends().set_peer_in_flight(address, std::move(counts), core_.now());
     for (const wire::backend_busy& row : digest.busy()) {
         state_->backends().record_busy_report(
             {.server = row.backend(), .held = row.held(), .at = core_.now() - millis(row.age_ms())},
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -326,20 +326,21 @@
                                        : context_.connections.acquire(backend_incarnation_,
                                                                       server.entry.address, once);
     ++server.in_flight; // `release_call` undoes this
-    log_event(event_id::backend_chosen,
-              "request={} route={} prompt={:x} backend={} software={} after_event={} zone={} "
-              "reason={} rank={} kept={} "
-              "copies_from={} load={} "
-              "mean={:.1f} pool={} "
-              "cold={} try={} left_ms={} version={} source_age_ms={} listed_age_ms={}",
-              metadata_.id, route_->name, placement_segment(), backend_id_,
-              server.entry.software_version,
-              metadata.last_event_id.empty() ? "-" : metadata.last_event_id, server.entry.zone,
-              choice.reason, choice.rank, choice.prefix_cached,
-              choice.copy_source == nullptr ? "-" : choice.copy_source->entry.id, choice.load,
-              choice.mean, choice.pool, server.cold(sent_at_), tried_backends_.size(),
-              metadata.time_left.count(), table_->version(), context_.state.source_age().count(),
-              (sent_at_ - server.listed_at).count());
+    log_event(
+        event_id::backend_chosen,
+        "request={} route={} prompt={:x} backend={} software={} after_event={} zone={} "
+        "reason={} rank={} kept={} "
+        "copies_from={} load={} "
+        "mean={:.1f} expected={} known_ms={} pool={} "
+        "cold={} try={} left_ms={} version={} source_age_ms={} listed_age_ms={}",
+        metadata_.id, route_->name, placement_segment(), backend_id_, server.entry.software_version,
+        metadata.last_event_id.empty() ? "-" : metadata.last_event_id, server.entry.zone,
+        choice.reason, choice.rank, choice.prefix_cached,
+        choice.copy_source == nullptr ? "-" : choice.copy_source->entry.id, choice.load,
+        choice.mean, choice.expected_load ? fmt::format("{:.1f}", *choice.expected_load) : "-",
+        choice.information_age.count(), choice.pool, server.cold(sent_at_), tried_backends_.size(),
+        metadata.time_left.count(), table_->version(), context_.state.source_age().count(),
+        (sent_at_ - server.listed_at).count());
     connection_->call(request, body_,
                       {.on_sent =
                            [this] {
--- a/Source/relay_server.cpp
+++ b/Source/relay_server.cpp
@@ -95,6 +95,7 @@
 {
     options_.limits = limits;
     chooser_.set_load_multiple(limits.load_multiple);
+    chooser_.set_even_load(limits.even_load);
     retries_.set_options(limits.retries);
 }
 
@@ -276,7 +277,10 @@
             {"callers", callers_.size()},
             {"requests_open", exchanges},
             {"idle_backend_connections", connections_.idle()},
-            {"entries", entries_}};
+            {"entries", entries_},
+            {"even_load", options_.limits.even_load},
+            {"even_load_choices", chooser_.even_load_choices().choices},
+            {"even_load_differing", chooser_.even_load_choices().differing}};
 }
 
 } // namespace cyclamen
--- a/Source/relay_server.h
+++ b/Source/relay_server.h
@@ -27,6 +27,7 @@
     // Time from the start of a graceful shutdown until requests still open are aborted.
     millis stop_grace = 7500ms;
     double load_multiple = 2.0; // load bound of a backend server, relative to its pool's mean
+    bool even_load = false;     // see `backend_chooser_options::even_load`
     retry_budgets_options retries;
 };
 
--- a/Tests/Platform/platform_test.cpp
+++ b/Tests/Platform/platform_test.cpp
@@ -131,6 +131,13 @@
     EXPECT_TRUE(codec.read_response(response).not_run);
     EXPECT_EQ(codec.read_response(response).load->waiting, 1U);
     response.headers = {{"Instance-Load", "3,x"}};
+    EXPECT_EQ(codec.read_response(response).load->running, 3U);
+    EXPECT_EQ(codec.read_response(response).load->waiting, 0U);
+    EXPECT_FALSE(codec.read_response(response).load->work_percent);
+    response.headers = {{"Instance-Load", "x,1,8,250,x"}};
+    EXPECT_FALSE(codec.read_response(response).load->counted);
+    EXPECT_EQ(codec.read_response(response).load->work_percent, 250U);
+    response.headers = {{"Instance-Load", "x"}};
     EXPECT_FALSE(codec.read_response(response).load);
 }
 
