--- a/Tests/Load/even_load_test.cpp
+++ b/Tests/Load/even_load_test.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <ostream>
 
 using namespace cyclamen;
 
@@ -80,6 +81,12 @@
     double burst_factor;
 };
 
+// Part of the test's name in ctest, which must be the same in each run.
+void PrintTo(const load_case& given, std::ostream* out)
+{
+    *out << given.pattern;
+}
+
 std::vector<load_case> load_cases()
 {
     std::vector<load_case> cases;
--- a/Tests/Platform/platform_test.cpp
+++ b/Tests/Platform/platform_test.cpp
@@ -141,6 +141,20 @@
     EXPECT_FALSE(codec.read_response(response).load);
 }
 
+// Guards against a choice of servers that changes where the operators have not asked for it.
+TEST(platform_dialect, spreads_by_expected_load_only_with_the_contract)
+{
+    const auto with = [](const char* contracts) {
+        nlohmann::json document = good_settings;
+        document["Contracts"] = nlohmann::json::parse(contracts);
+        std::vector<finding> findings;
+        return parse_settings(document.dump(), "node.json", findings)->even_load;
+    };
+    EXPECT_TRUE(with(R"(["rollout", 7, "pressure"])"));
+    EXPECT_FALSE(with(R"(["rollout"])"));
+    EXPECT_FALSE(with(R"("pressure")"));
+}
+
 TEST(platform_dialect, tells_an_engine_the_requests_urgency)
 {
     const header_codec codec = make_header_codec();
--- a/Utilities/update-manual.sh
+++ b/Utilities/update-manual.sh
@@ -16,7 +16,10 @@
 
 `cyclamen-platform-entry` takes no INI file: it reads the platform's JSON settings, whose
 path is in `CYCLAMENSHORE_CONFIG`, checks them in the same way, ignores fields that it does
-not know, and reads them again on SIGHUP and when the file changes.
+not know, and reads them again on SIGHUP and when the file changes.  If the list `Contracts`
+contains `pressure`, requests are spread by the expected load of the servers
+([design/even-load.md](design/even-load.md)); without it, this is so for services whose servers
+send the fourth figure of the load header.
 
 ## cyclamen-entry
 
