Order only the first servers by expected load

The decision at 300 servers took 17.4 us of CPU with the choice by expected load against 4.8 us without; sorting all servers was most of it. Only the first 16 are ordered now: 9.1 us against 4.4 us (decision_benchmark, choose_a_backend/300/0, one run beside other work). The benchmark got the choice as third argument.

--- a/Source/backend_chooser.cpp
+++ b/Source/backend_chooser.cpp
@@ -113,8 +113,12 @@
         costs.emplace_back(forecast.cost(deviation + zone_penalty, (*server)->entry.slots),
                            *server);
     }
-    std::sort(costs.begin(), costs.end(),
-              [](const auto& left, const auto& right) { return left.first < right.first; });
+    // Ordering all of some hundred servers takes longer than all the rest; the rules seldom keep
+    // out this many.  Those behind are in no particular order, which the random costs vary.
+    constexpr std::ptrdiff_t ordered_servers = 16;
+    const auto ordered_end = costs.begin() + std::min(ordered_servers, costs.end() - costs.begin());
+    std::partial_sort(costs.begin(), ordered_end, costs.end(),
+                      [](const auto& left, const auto& right) { return left.first < right.first; });
     std::transform(costs.begin(), costs.end(), first, [](const auto& cost) { return cost.second; });
 }
 
--- a/Tests/Measures/decision_benchmark.cpp
+++ b/Tests/Measures/decision_benchmark.cpp
@@ -65,13 +65,14 @@
 }
 BENCHMARK(take_a_list_of_backends)->Arg(50)->Arg(300)->Arg(3000);
 
-// The second argument is 1 if each request has a prefix segment.
+// The second argument is 1 if each request has a prefix segment, the third 1 if the expected load
+// decides.
 void choose_a_backend(benchmark::State& state)
 {
     backend_table table = make_backend_table(state.range(0));
     const relay_service service{.name = "engine"};
     const prefix_locations locations;
-    backend_chooser chooser({.zone = "a"});
+    backend_chooser chooser({.zone = "a", .even_load = state.range(2) != 0});
     std::uint64_t prompt = 0;
     for (auto _ : state) {
         ++prompt;
@@ -82,7 +83,7 @@
         benchmark::DoNotOptimize(chooser.choose(table, service, criteria, 2000ms));
     }
 }
-BENCHMARK(choose_a_backend)->ArgsProduct({{50, 300, 3000}, {0, 1}});
+BENCHMARK(choose_a_backend)->ArgsProduct({{50, 300, 3000}, {0, 1}, {0, 1}});
 
 // Replaces one peer entry's numbers of requests in flight, at up to 40 servers.
 void take_counts_of_a_peer(benchmark::State& state)
