--- a/Tests/Load/even_load_test.cpp
+++ b/Tests/Load/even_load_test.cpp
@@ -82,9 +82,9 @@
 };
 
 // Part of the test's name in ctest, which must be the same in each run.
-void PrintTo(const load_case& given, std::ostream* out)
+std::ostream& operator<<(std::ostream& out, const load_case& given)
 {
-    *out << given.pattern;
+    return out << given.pattern;
 }
 
 std::vector<load_case> load_cases()
