--- a/Utilities/update-manual.sh
+++ b/Utilities/update-manual.sh
@@ -18,7 +18,9 @@
 path is in `CYCLAMENSHORE_CONFIG`, checks them in the same way, ignores fields that it does
 not know, and reads them again on SIGHUP and when the file changes.  `Limits.MemoryMb` and
 `Limits.MaxFds` bound what it holds for clients (PLATFORM, "What a request may meet"); both
-are optional, and read once, at the start.
+are optional, and read once, at the start.  If the list `Contracts` contains `pressure`, requests
+are spread by the expected load of the servers ([design/even-load.md](design/even-load.md));
+without it, this is so for services whose servers send the fourth figure of the load header.
 
 ## cyclamen-entry
 
