--- a/Tests/Platform/odd_records_test.cpp
+++ b/Tests/Platform/odd_records_test.cpp
@@ -279,7 +279,8 @@
             EXPECT_LE(*deadline, 24h) << value;
         }
     }
-    for (const char* value : {"4294967295,4294967295,1", "4294967295,1,64", "-1,0,8", "x,2,3,0", "x,2,3,1000001"}) {
+    for (const char* value :
+         {"4294967295,4294967295,1", "4294967295,1,64", "-1,0,8", "x,2,3,0", "x,2,3,1000001"}) {
         http_head response;
         response.status = 200;
         response.headers = {{"Instance-Load", value}};
