Mend two findings of clang-tidy in the roll-outs

Cause: a pointer that is never null there, but can't be proved so, and a multiplication in a narrower type. Change: rollout_service::is_completed; a cast.

--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -260,9 +260,8 @@
                                        context_.core.now());
     };
     backend_choice choice = choose();
-    const rollout* order = rollouts == nullptr ? nullptr : rollouts->find(service_);
     if (choice.server == nullptr && criteria.versions && criteria.versions->only &&
-        order->step() != rollout_step::completed) {
+        rollouts != nullptr && !rollouts->is_completed(service_)) {
         criteria.versions->only = false; // the ordered version has no room: others have
         choice = choose();
     }
--- a/Source/rollout_service.cpp
+++ b/Source/rollout_service.cpp
@@ -82,6 +82,12 @@
     return found == orders_.end() ? nullptr : &found->second.state;
 }
 
+bool rollout_service::is_completed(const std::string& service) const
+{
+    const rollout* order = find(service);
+    return order != nullptr && order->step() == rollout_step::completed;
+}
+
 void rollout_service::set_order(rollout_order order, bool found_at_start)
 {
     running_order* known = find_order(order.service);
--- a/Source/rollout_service.h
+++ b/Source/rollout_service.h
@@ -100,6 +100,8 @@
     void add_to_digest(wire::relay_digest& digest) const;
     void on_digest(const wire::relay_digest& digest);
 
+    /// Whether the order of the service is completed, so that its other servers have stopped.
+    bool is_completed(const std::string& service) const;
     /// The order of a service; null if there is none.
     const rollout* find(const std::string& service) const;
 
--- a/Tests/Decisions/rollout_test.cpp
+++ b/Tests/Decisions/rollout_test.cpp
@@ -106,7 +106,8 @@
             entry.halt_if_bad();
         }
         for (unsigned from = day.cut_off; from < day.entries; ++from) {
-            if ((now.count() + from * 37) % day.digest_interval.count() >= tick.count() ||
+            if ((now.count() + static_cast<millis::rep>(from) * 37) % day.digest_interval.count() >=
+                    tick.count() ||
                 (from == day.cut_off && from != decider)) {
                 continue;
             }
