Give the test of the contract pressure settings that can be read

Change: the test names another contract and checks that the settings were read; a test of the contract rollout and its bounds.

--- a/Tests/Platform/platform_test.cpp
+++ b/Tests/Platform/platform_test.cpp
@@ -148,13 +148,32 @@
         nlohmann::json document = good_settings;
         document["Contracts"] = nlohmann::json::parse(contracts);
         std::vector<finding> findings;
-        return parse_settings(document.dump(), "node.json", findings)->even_load;
+        const auto given = parse_settings(document.dump(), "node.json", findings);
+        EXPECT_TRUE(given) << format_findings(findings);
+        return given && given->even_load;
     };
-    EXPECT_TRUE(with(R"(["rollout", 7, "pressure"])"));
-    EXPECT_FALSE(with(R"(["rollout"])"));
+    EXPECT_TRUE(with(R"(["drain", 7, "pressure"])"));
+    EXPECT_FALSE(with(R"(["drain"])"));
     EXPECT_FALSE(with(R"("pressure")"));
 }
 
+// Guards against roll-outs without the bounds of what a bad version may get.
+TEST(platform_dialect, takes_orders_for_rollouts_only_with_the_contract_and_its_bounds)
+{
+    nlohmann::json document = good_settings;
+    std::vector<finding> findings;
+    EXPECT_FALSE(parse_settings(document.dump(), "node.json", findings)->rollouts);
+    document["Contracts"] = {"drain", "rollout"};
+    EXPECT_FALSE(parse_settings(document.dump(), "node.json", findings));
+    EXPECT_EQ(findings.size(), 2U) << "both bounds are missing";
+    document["Bounds"]["ExposureShare"] = 0.1;
+    document["Bounds"]["ExposureTolerance"] = 50;
+    const auto given = parse_settings(document.dump(), "node.json", findings);
+    ASSERT_TRUE(given && given->rollouts);
+    EXPECT_EQ(given->rollouts->exposure_share, 0.1);
+    EXPECT_EQ(given->rollouts->exposure_tolerance, 50);
+}
+
 TEST(platform_dialect, tells_an_engine_the_requests_urgency)
 {
     const header_codec codec = make_header_codec();
