--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -12,3 +12,5 @@
     $compiler $flags "$folder/case.cpp" target/review-2/platform.o \
         -o "target/review-2/case-${folder#review/}"
 done
+$compiler $flags review/trials-2/gap_in_listing.cpp target/review-2/platform.o \
+    -o target/review-2/gap_in_listing
--- a/review/stand-ins-2/platform.cpp
+++ b/review/stand-ins-2/platform.cpp
@@ -343,6 +343,7 @@
     for (auto& [topic, log] : topics_) {
         const auto kept = from.find(topic);
         log.resize(kept == from.end() ? 0 : kept->second);
+        first_[topic] = std::min(first_[topic], log.size());
     }
     ++era_;
 }
@@ -352,6 +353,12 @@
     return "Store-Era: " + std::to_string(era_) + "\r\n";
 }
 
+void store::compact(const std::string& topic)
+{
+    const std::lock_guard lock(mutex_);
+    first_[topic] = topics_[topic].size();
+}
+
 std::size_t store::appended(const std::string& topic)
 {
     const std::lock_guard lock(mutex_);
@@ -425,13 +432,15 @@
     const milliseconds wait(std::stol("0" + request.field("WaitMs")));
     std::string body;
     bool gone = false;
+    std::size_t first = 0;
     {
         std::unique_lock lock(mutex_);
         changed_.wait_for(lock, wait, [&] { return topics_[topic].size() > from || down(); });
         const std::vector<entry>& log = topics_[topic];
-        gone = from > log.size();
+        first = first_[topic];
+        gone = from > log.size() || from < first;
         append_number(body, log.size(), 8);
-        append_number(body, 0, 8);
+        append_number(body, first, 8);
         for (std::size_t offset = from; offset < log.size() && body.size() < most; ++offset) {
             const entry& row = log[offset];
             append_number(body, 1 + row.key.size() + row.value.size(), 4);
@@ -447,7 +456,7 @@
         return;
     }
     if (gone) {
-        caller.reply(410, head(), json{{"FirstOffset", 0}}.dump());
+        caller.reply(410, head(), json{{"FirstOffset", first}}.dump());
         return;
     }
     caller.reply(200, head() + "Content-Type: application/octet-stream\r\n", body);
@@ -530,10 +539,10 @@
         if (ended_) {
             return;
         }
-        if (up_) {
+        if (up_ && !leaving_) {
             write_entry();
         }
-        else if (listed_ && steady::now() - last_beat_ > intervals * options_.heartbeat &&
+        else if (!up_ && listed_ && steady::now() - last_beat_ > intervals * options_.heartbeat &&
                  platform_.put("keyed.servers", options_.id, "")) {
             listed_ = false;
             log_.note("the entry of worker " + options_.id + " is removed");
@@ -568,6 +577,14 @@
     }
 }
 
+void worker::leave_unsaid()
+{
+    leaving_ = true;
+    platform_.put("keyed.servers", options_.id, "");
+    listed_ = false;
+    log_.note("worker " + options_.id + " leaves, its entry is removed");
+}
+
 void worker::end()
 {
     crash();
--- a/review/stand-ins-2/platform.h
+++ b/review/stand-ins-2/platform.h
@@ -118,6 +118,8 @@
     std::map<std::string, std::size_t> copy();
     /// Comes back from a copy, after a moment in which the store was away.
     void restore(const std::map<std::string, std::size_t>& from);
+    /// Deletes all records of the topic; the newest of each key stays in listings.
+    void compact(const std::string& topic);
     /// Number of records that the topic has held.
     std::size_t appended(const std::string& topic);
 
@@ -137,6 +139,7 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::string, std::vector<entry>> topics_;
+    std::map<std::string, std::size_t> first_; // offsets of the first records that are retained
     std::atomic<store_mode> mode_ = store_mode::normal;
     std::atomic<unsigned> era_ = 1;
     std::atomic<milliseconds> delay_{0ms};
@@ -166,6 +169,8 @@
     void start(const std::string& version);
     /// Ends without a word.  Its entry is removed after three check-in intervals.
     void crash();
+    /// Leaves without reporting `draining`: its entry is removed, and it serves on.
+    void leave_unsaid();
     unsigned runs() const { return runs_; }
     unsigned streaming() const { return streaming_; }
     const std::string& id() const { return options_.id; }
@@ -188,6 +193,7 @@
     std::atomic<unsigned> streaming_ = 0;
     std::atomic<bool> up_ = false;
     std::atomic<bool> ended_ = false;
+    std::atomic<bool> leaving_ = false;
     bool listed_ = false;
     steady::time_point last_beat_{};
     std::mutex mutex_;
