--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,9 +1,10 @@
-// A zone is to be evacuated once more, right after the store came back from an older copy.
+// Entries whose seeds are stale archive the origins of streams into the same records.
 #include "../stand-ins-2/platform.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <csignal>
 #include <iostream>
 
 using namespace review;
@@ -12,23 +13,23 @@
 namespace {
 
 constexpr const char* host = "shop.example";
-constexpr const char* evacuated = "zone-b";
-// Bounds of the site.
-constexpr milliseconds evacuate_bound = 5000ms;
-constexpr milliseconds outer_bound = 5000ms; // while the store is unstable, at most
-constexpr milliseconds watched = 18000ms;
+constexpr unsigned entry_count = 8;  // five and the three spare ones of the site
+constexpr unsigned killed_count = 4; // the site's herd_kill takes 0.55 of them
+constexpr unsigned streams_per_entry = 18;
 
 std::string configuration()
 {
     return json{{"Version", 3},
                 {"Routes",
-                 {{{"Name", "view"},
+                 {{{"Name", "chat"},
                    {"Hostname", host},
-                   {"PathPrefix", "/plain/"},
-                   {"Type", "safe"},
-                   {"TimeoutMs", 800},
-                   {"TargetLatencyMs", 150},
-                   {"Priority", 2},
+                   {"PathPrefix", "/chat/"},
+                   {"Type", "streaming"},
+                   {"StreamResume", true},
+                   {"TimeoutMs", 12000},
+                   {"TargetLatencyMs", 500},
+                   {"GapTargetMs", 500},
+                   {"Priority", 0},
                    {"MaxAttempts", 2},
                    {"Service", "model"}}}},
                 {"Services", {{{"Name", "model"}}}},
@@ -36,6 +37,25 @@
         .dump();
 }
 
+struct stream_seen {
+    std::string attempt;
+    unsigned entry = 0;
+    std::mutex mutex;
+    std::vector<event> events; // of both attempts
+    std::vector<int> statuses;
+    bool complete = false;
+
+    std::set<std::string> versions()
+    {
+        const std::lock_guard lock(mutex);
+        std::set<std::string> result;
+        for (const event& each : events) {
+            result.insert(each.data.substr(0, each.data.find(' ')));
+        }
+        return result;
+    }
+};
+
 void need(bool condition, const std::string& what)
 {
     if (!condition) {
@@ -43,56 +63,76 @@
     }
 }
 
-// Runs at the workers of the zone, by the request that a client sent.
-struct run_seen {
-    steady::time_point at;
-    std::string attempt;
-    std::string worker;
-};
+client_result send(stream_seen& seen, const std::string& entry, const std::string& attempt,
+                   std::vector<std::string> more)
+{
+    std::vector<event> before;
+    {
+        const std::lock_guard lock(seen.mutex);
+        before = seen.events;
+    }
+    const auto take = [&](const client_result& so_far) {
+        const std::lock_guard lock(seen.mutex);
+        seen.events = before;
+        for (event& each : events_of(so_far.body)) {
+            seen.events.push_back(std::move(each));
+        }
+    };
+    std::vector<std::string> headers{std::string("Host: ") + host,
+                                     "Attempt-Id: " + attempt,
+                                     "Model: m",
+                                     "Token-Usage: 130,200",
+                                     "Prefix-Hash: " + seen.attempt + ":130",
+                                     "Deadline-Ms: 12000"};
+    headers.insert(headers.end(), more.begin(), more.end());
+    client_result result = send_request({.ip = entry,
+                                         .port = frontend_port,
+                                         .path = "/chat/60-100",
+                                         .headers = headers,
+                                         .body = "a question",
+                                         .limit = 12000ms,
+                                         .on_data = take});
+    if (result.status == 200) {
+        take(result);
+    }
+    const std::lock_guard lock(seen.mutex);
+    seen.statuses.push_back(result.status);
+    seen.complete = result.status == 200 && result.complete;
+    return result;
+}
 
 bool rule_held(const std::string& folder)
 {
     const bool trouble = with_trouble();
     record log(folder + "/record.txt");
-    log.note(trouble ? "the store will come back from an older copy" : "the store stays up");
+    log.note(trouble ? "the seeds are stale" : "the seeds are three of the entries");
     const temporary_folder files;
     const loopback_net net;
     store platform(net.address(200));
     need(platform.put("keyed.op", "config", configuration()), "no configuration");
-    std::mutex mutex;
-    std::vector<run_seen> runs;
-    std::map<std::string, steady::time_point> sent;
     std::vector<std::unique_ptr<worker>> workers;
     for (unsigned number = 0; number < 4; ++number) {
-        const std::string zone = number % 2 == 0 ? "zone-a" : evacuated;
-        workers.push_back(
-            std::make_unique<worker>(platform, log,
-                                     worker_options{.id = "i-" + std::to_string(number),
-                                                    .ip = net.address(100 + number),
-                                                    .zone = zone}));
-        if (zone == evacuated) {
-            workers.back()->on_run = [&, id = workers.back()->id()](const std::string& attempt,
-                                                                    const std::string&) {
-                const std::lock_guard lock(mutex);
-                runs.push_back({steady::now(), attempt, id});
-            };
-        }
-        workers.back()->start("v1");
+        workers.push_back(std::make_unique<worker>(
+            platform, log,
+            worker_options{.id = "i-" + std::to_string(number), .ip = net.address(100 + number)}));
+        workers.back()->on_run = [&log, id = workers.back()->id()](const std::string& attempt,
+                                                                   const std::string& version) {
+            log.note("worker " + id + " with software " + version + " runs " + attempt);
+        };
     }
-    const auto runs_in_zone = [&] {
-        const std::lock_guard lock(mutex);
-        return runs.size();
-    };
+    workers[0]->start("v1");
+    workers[1]->start("v1");
     std::vector<std::string> seeds;
-    std::vector<std::unique_ptr<entry_process>> entries;
     for (unsigned number = 1; number <= 3; ++number) {
-        seeds.push_back(net.address(number) + ":" + std::to_string(control_port));
+        // The machines at the stale addresses are gone.
+        seeds.push_back(net.address(trouble ? 50 + number : number) + ":" +
+                        std::to_string(control_port));
     }
-    for (unsigned number = 0; number < 3; ++number) {
+    std::vector<std::unique_ptr<entry_process>> entries;
+    for (unsigned number = 0; number < entry_count; ++number) {
         entries.push_back(std::make_unique<entry_process>(
             files.path(), entry_options{.name = "entry-" + std::to_string(number),
                                         .ip = net.address(1 + number),
-                                        .zone = number == 1 ? evacuated : "zone-a",
                                         .store = platform.address(),
                                         .seeds = seeds}));
         entries.back()->start();
@@ -103,112 +143,86 @@
                                          [](const auto& each) { return each->ready(); });
                   }),
          "the entries aren't ready");
-    std::atomic<bool> busy = true;
-    std::atomic<unsigned> answered = 0;
-    std::atomic<unsigned> failed = 0;
-    std::vector<std::thread> clients;
-    for (unsigned number = 0; number < 3; ++number) {
-        clients.emplace_back([&, number] {
-            while (busy) {
-                const std::string attempt = random_id();
+    // The site's traffic starts 10 s after the machines: one stream per entry shows that it serves.
+    const auto started = steady::now();
+    wait_for(10s, [&] { return steady::now() - started >= 6s; });
+    workers[2]->start("v2");
+    workers[3]->start("v2");
+    const auto listed = steady::now();
+    wait_for(3s, [&] { return steady::now() - listed >= 2s; });
+
+    std::vector<std::shared_ptr<stream_seen>> streams;
+    std::vector<std::thread> threads;
+    std::atomic<bool> killed = false;
+    for (unsigned turn = 0; turn < streams_per_entry; ++turn) {
+        for (unsigned number = 0; number < entry_count; ++number) {
+            auto seen = std::make_shared<stream_seen>();
+            seen->attempt = random_id();
+            seen->entry = number;
+            streams.push_back(seen);
+            threads.emplace_back([&, seen, number] {
+                send(*seen, net.address(1 + number), seen->attempt, {});
+                std::string last;
                 {
-                    const std::lock_guard lock(mutex);
-                    sent[attempt] = steady::now();
+                    const std::lock_guard lock(seen->mutex);
+                    if (seen->complete || !killed || seen->events.empty()) {
+                        return;
+                    }
+                    last = seen->events.back().id;
                 }
-                const int status =
-                    send_request({.ip = net.address(1 + number),
-                                  .port = frontend_port,
-                                  .method = "GET",
-                                  .path = "/plain/orders",
-                                  .headers = {std::string("Host: ") + host,
-                                              "Attempt-Id: " + attempt, "Deadline-Ms: 1500"},
-                                  .limit = 1500ms})
-                        .status;
-                ++(status == 200 ? answered : failed);
-                std::this_thread::sleep_for(40ms);
-            }
-        });
-    }
-    steady::time_point confirmed{};
-    const auto end = [&] {
-        busy = false;
-        for (std::thread& each : clients) {
-            each.join();
+                // Takes the stream up at one of the entries that are left.
+                const unsigned other = killed_count + number % (entry_count - killed_count);
+                send(*seen, net.address(1 + other), random_id(),
+                     {"Last-Event-Id: " + last, "Resumes: " + seen->attempt});
+            });
+            std::this_thread::sleep_for(20ms);
         }
-    };
-    const auto calm = [&](bool in_use, milliseconds limit) {
-        // Whether the zone is in use, or has been out of use for a second.
-        std::size_t before = runs_in_zone();
-        auto since = steady::now();
-        return wait_for(limit, [&] {
-            const std::size_t now = runs_in_zone();
-            if (in_use) {
-                return now > before;
-            }
-            if (now != before) {
-                before = now;
-                since = steady::now();
-            }
-            return steady::now() - since > 1s;
+    }
+    const auto began = [&] {
+        return std::all_of(streams.begin(), streams.end(), [](const auto& each) {
+            const std::lock_guard lock(each->mutex);
+            return !each->events.empty() || !each->statuses.empty();
         });
     };
-    try {
-        const std::string key = std::string("evacuate/") + evacuated;
-        need(calm(true, 5s), "the zone isn't used");
-        need(platform.put("keyed.op", key, "{}"), "no evacuation");
-        log.note("the zone is to be evacuated, confirmed");
-        need(calm(false, 10s), "the zone isn't evacuated");
-        const auto copy = platform.copy();
-        need(platform.put("keyed.op", key, ""), "no end of the evacuation");
-        log.note("the zone is taken back, confirmed");
-        need(calm(true, 5s), "the zone isn't used again");
-        if (trouble) {
-            platform.set_mode(store_mode::busy);
-            platform.restore(copy);
-            log.note("the store is away");
-        }
-        // Asks until the store confirms.
-        std::thread comes_back([&] {
-            if (trouble) {
-                const auto away = steady::now();
-                wait_for(1s, [&] { return steady::now() - away >= 500ms; });
-                platform.set_mode(store_mode::normal);
-            }
-        });
-        while (!platform.put("keyed.op", key, "{}")) {
-            std::this_thread::sleep_for(1ms);
-        }
-        confirmed = steady::now();
-        comes_back.join();
-        log.note("the zone is to be evacuated again, confirmed");
-        wait_for(watched + 1s, [&] { return steady::now() - confirmed >= watched; });
+    const bool all_began = wait_for(2000ms, began);
+    killed = true;
+    for (unsigned number = 0; number < killed_count; ++number) {
+        entries[number]->signal(SIGKILL);
     }
-    catch (...) {
-        end();
-        throw;
+    log.note("entries 0 to " + std::to_string(killed_count - 1) + " are killed");
+    for (std::thread& each : threads) {
+        each.join();
     }
-    end();
-    unsigned late = 0;
-    for (const run_seen& each : runs) {
-        const auto request = sent.find(each.attempt);
-        if (request == sent.end()) {
+    need(all_began, "not all streams began");
+    unsigned mixed = 0;
+    unsigned taken_up = 0;
+    unsigned refused = 0;
+    for (const auto& each : streams) {
+        taken_up += each->statuses.size() > 1 ? 1 : 0;
+        refused += each->statuses.size() > 1 && each->statuses.back() != 200 ? 1 : 0;
+        if (each->versions().size() < 2) {
             continue;
         }
-        const auto after = std::chrono::duration_cast<milliseconds>(request->second - confirmed);
-        if (after > evacuate_bound + outer_bound) {
-            ++late;
-            log.note("worker " + each.worker + " ran " + each.attempt + ", sent " +
-                     std::to_string(after.count()) + " ms after the confirmation");
+        ++mixed;
+        std::string line =
+            "stream " + each->attempt + " of entry " + std::to_string(each->entry) + " holds";
+        std::string before;
+        for (const event& row : each->events) {
+            if (row.data != before) {
+                line += " " + row.id + ":" + row.data;
+                before = row.data;
+            }
         }
+        log.note(line + (each->complete ? ", complete" : ", broken off"));
     }
-    const std::string verdict = std::to_string(late) + " requests that were sent later than " +
-                                std::to_string((evacuate_bound + outer_bound).count()) +
-                                " ms after the confirmation ran in the zone; " +
-                                std::to_string(answered) + " requests were answered, " +
-                                std::to_string(failed) + " not";
+    const std::string verdict = std::to_string(mixed) + " of " + std::to_string(streams.size()) +
+                                " streams hold events of two software versions; " +
+                                std::to_string(taken_up) + " were taken up, of which " +
+                                std::to_string(refused) + " were refused";
     log.note(verdict);
     std::cout << verdict << "\n";
-    return late == 0;
+    constexpr unsigned allowed = 2; // the rule: more than two
+    return mixed <= allowed;
 }
 
 } // namespace
