--- a/Tests/Relay/platform_feed_test.cpp
+++ b/Tests/Relay/platform_feed_test.cpp
@@ -96,6 +96,41 @@
     EXPECT_FALSE(ends[2]);
 }
 
+// Guards against a caller that waits for ever, so that no stream that the entry does not know is
+// taken up any more: a second call on the same channel made the store's client forget the first.
+TEST(platform_feed, answers_each_of_several_calls_that_share_a_channel)
+{
+    kernel core({.program = "test", .instance = "test"});
+    scripted_backend store;
+    auto& state = core.add(std::make_unique<relay_state>(core, relay_state_options{}));
+    auto& feed = core.add(std::make_unique<platform::platform_feed>(
+        core,
+        platform::platform_feed_options{.store = {.host = "127.0.0.1", .port = store.port()}}));
+    state.start();
+    feed.start();
+    ASSERT_TRUE(wait_for(core, store, [&] { return store.requests() == 2; }));
+    for (const std::size_t listing : {0U, 1U}) {
+        store.respond(listing, response_of("", R"({"Entries":[],"HasMore":false,"EndOffset":0})"));
+    }
+    ASSERT_TRUE(wait_for(core, store, [&] { return store.requests() == 4; }));
+    std::vector<std::string> ends;
+    for (const std::string caller : {"a search", "a new default version"}) {
+        feed.read_backends_to_end([&ends, caller](bool done) {
+            ends.push_back(caller + (done ? ": done" : ": failed"));
+        });
+    }
+    for (std::size_t call = 4; call < 6; ++call) {
+        ASSERT_TRUE(wait_for(core, store, [&] { return store.requests() == call + 1; }));
+        store.respond(call, response_of("", std::string(16, '\0')));
+        ASSERT_TRUE(wait_for(core, store, [&] { return ends.size() == call - 3; }));
+    }
+    EXPECT_EQ(ends, (std::vector<std::string>{"a search: done", "a new default version: done"}));
+    // One that is silent fails each of them, too.
+    feed.read_backends_to_end([&](bool done) { ends.push_back(done ? "done" : "failed"); });
+    feed.read_backends_to_end([&](bool done) { ends.push_back(done ? "done" : "failed"); });
+    ASSERT_TRUE(wait_for(core, store, [&] { return ends.size() == 4; }));
+}
+
 namespace {
 
 class restored_store : public testing::Test {
