Let one process alone write each record of the stream archive

The lane came from the incarnation, which is odd, so that four were used: entries replaced each other's confirmed records. A step of the clock, or a write without an answer that the store carried out after a later one, could do the same to a process's own.

Change: the key names the process and a number that it counts up. A record whose write was not confirmed is not written again. A process drops its expired records with its next write, in the same call; those of processes that have ended are removed once they are two minutes old, by the archiver, when it reads the archive. The record of default versions, which has several writers by nature, is replaced only if its log is still at the offset that was read.

With keys of lanes put back, platform_feed.names_the_writer_in_the_key_of_each_archived_record and origin_exchange.keeps_the_records_of_several_archivers_apart fail.

--- a/Source/origin_exchange.cpp
+++ b/Source/origin_exchange.cpp
@@ -181,29 +181,56 @@
     if (streams.empty()) {
         return;
     }
-    const millis wall = core_.wall_clock();
-    const auto slot = static_cast<std::uint64_t>(wall / options_.archive_slot);
-    if (slot != slot_) {
-        slot_ = slot;
+    if (core_.now() - record_began_at_ >= options_.archive_slot) {
+        ++record_;
+        record_began_at_ = core_.now();
         batch_.Clear();
     }
-    batch_.set_at_ms(static_cast<std::uint64_t>(wall.count()));
+    batch_.set_at_ms(static_cast<std::uint64_t>(core_.wall_clock().count()));
     for (const stream_origin& origin : streams) {
         add_origin(origin, batch_);
     }
     archive_busy_ = true;
-    hooks_.archive(slot, batch_, [this, streams, restores = restores_](bool confirmed) {
-        archive_busy_ = false;
-        if (confirmed && restores == restores_) {
-            on_archived(streams);
+    records_[record_] = core_.now();
+    const archive_write write{.record = record_, .batch = batch_, .expired = expired_records()};
+    hooks_.archive(write,
+                   [this, streams, expired = write.expired, restores = restores_](bool confirmed) {
+                       archive_busy_ = false;
+                       if (confirmed && restores == restores_) {
+                           forget_records(expired);
+                           on_archived(streams);
+                       }
+                       else {
+                           on_archive_refused(streams);
+                       }
+                       if (read_wanted_) {
+                           read_archive();
+                       }
+                   });
+}
+
+// Records of this process whose streams nobody takes up any more.
+std::vector<std::uint64_t> origin_exchange::expired_records() const
+{
+    constexpr std::size_t most = 64;
+    std::vector<std::uint64_t> expired;
+    for (const auto& [number, written_at] : records_) {
+        if (core_.now() - written_at >= stream_origins_options{}.retention &&
+            expired.size() < most) {
+            expired.push_back(number);
         }
-        else {
-            on_archive_refused(streams);
-        }
-        if (read_wanted_) {
-            read_archive();
-        }
-    });
+    }
+    return expired;
+}
+
+void origin_exchange::forget_records(const std::vector<std::uint64_t>& numbers)
+{
+    for (const std::uint64_t number : numbers) {
+        records_.erase(number);
+    }
+    if (!numbers.empty() && !std::exchange(leftovers_removed_, true)) {
+        read_wanted_ = true; // finds the records of processes that have ended
+    }
 }
 
 void origin_exchange::on_archived(const std::vector<stream_origin>& streams)
@@ -238,6 +265,8 @@
 void origin_exchange::on_archive_refused(const std::vector<stream_origin>& streams)
 {
     state_->origins().archive_failed(streams);
+    // The store may still carry the write out, after later ones.
+    record_began_at_ = core_.now() - options_.archive_slot;
     archive_pause_ =
         std::clamp(2 * archive_pause_, options_.archive_interval, options_.archive_retry);
     archive_due_at_ = core_.now() + core_.jittered(archive_pause_);
@@ -249,6 +278,7 @@
     state_->origins().archive_lost();
     state_->origins().defaults_lost();
     defaults_read_at_.reset();
+    defaults_log_end_.reset();
 }
 
 void origin_exchange::search_for(std::uint64_t stream, const std::string& service,
@@ -354,36 +384,38 @@
             return;
         }
         hooks_.read_archive(
-            [this, streams](const auto& batches) { on_archive_read(streams, batches); });
+            [this, streams](const auto& records) { on_archive_read(streams, records); });
     });
 }
 
-void origin_exchange::on_archive_read(
-    const std::vector<std::uint64_t>& streams,
-    const std::optional<std::vector<wire::stream_origins>>& batches)
+void origin_exchange::on_archive_read(const std::vector<std::uint64_t>& streams,
+                                      const std::optional<std::vector<archived_record>>& records)
 {
     archive_busy_ = false;
     const auto now = static_cast<std::uint64_t>(core_.wall_clock().count());
     const auto retention = static_cast<std::uint64_t>(stream_origins_options{}.retention.count());
     std::vector<wire::stream_origins> recent;
-    for (const wire::stream_origins& batch : batches.value_or(recent)) {
-        if (batch.at_ms() + retention >= now) {
-            recent.push_back(batch);
+    if (records) {
+        for (const archived_record& record : *records) {
+            if (record.batch.at_ms() + retention >= now) {
+                recent.push_back(record.batch);
+            }
         }
+        remove_leftovers(*records);
     }
     std::sort(recent.begin(), recent.end(),
               [](const auto& left, const auto& right) { return left.at_ms() < right.at_ms(); });
     for (const wire::stream_origins& batch : recent) {
         merge(batch, true);
     }
-    if (batches) {
+    if (records) {
         past_read_ = true;
     }
     else {
         archive_failed_at_ = core_.now();
     }
     log_event(event_id::origins_read, "answered={} batches={} recent={} streams={} wanted={}",
-              batches.has_value(), batches ? batches->size() : 0, recent.size(),
+              records.has_value(), records ? records->size() : 0, recent.size(),
               state_->origins().size(), streams.size());
     for (const std::uint64_t stream : streams) {
         const auto found = searches_.find(stream);
@@ -393,13 +425,30 @@
         const std::string service = found->second.service;
         const std::optional<std::string> recorded = state_->known_origin(stream, service);
         // All streams that began elsewhere are recorded.
-        end_search(stream, recorded || !batches ? recorded : state_->default_version(service));
+        end_search(stream, recorded || !records ? recorded : state_->default_version(service));
     }
     if (read_wanted_) {
         read_archive();
     }
 }
 
+// The clocks of entries differ by seconds, and records of living processes are younger than that.
+void origin_exchange::remove_leftovers(const std::vector<archived_record>& records)
+{
+    constexpr std::size_t most = 256;
+    const millis now = core_.wall_clock();
+    std::vector<std::string> keys;
+    for (const archived_record& record : records) {
+        const millis age = now - millis(record.batch.at_ms());
+        if (age >= 2 * stream_origins_options{}.retention && keys.size() < most) {
+            keys.push_back(record.key);
+        }
+    }
+    if (!keys.empty() && hooks_.is_archiver()) {
+        hooks_.remove_archived(keys);
+    }
+}
+
 void origin_exchange::end_search(std::uint64_t stream, const std::optional<std::string>& version)
 {
     const auto found = searches_.find(stream);
@@ -496,10 +545,15 @@
         });
         return;
     }
-    if (archives && now - started_at_ >= options_.settle_time &&
-        !state_->origins().defaults_due(now).empty()) {
-        archive_due_defaults();
+    if (!archives || now - started_at_ < options_.settle_time ||
+        state_->origins().defaults_due(now).empty()) {
+        return;
+    }
+    if (!defaults_log_end_) { // this entry has only heard of them
+        read_defaults([](bool /*done*/) {});
+        return;
     }
+    archive_due_defaults();
 }
 
 void origin_exchange::read_defaults(on_done on_end)
@@ -509,18 +563,19 @@
         return; // when the open call ends
     }
     defaults_busy_ = true;
-    hooks_.read_defaults([this, asked_at = core_.now()](const auto& defaults) {
+    hooks_.read_defaults([this, asked_at = core_.now()](const auto& reading) {
         defaults_busy_ = false;
-        on_defaults_read(asked_at, defaults);
+        on_defaults_read(asked_at, reading);
     });
 }
 
 void origin_exchange::on_defaults_read(millis asked_at,
-                                       const std::optional<wire::stream_origins>& defaults)
+                                       const std::optional<defaults_reading>& reading)
 {
-    if (defaults) {
+    if (reading) {
         defaults_read_at_ = asked_at;
-        for (const wire::default_version& row : defaults->defaults()) {
+        defaults_log_end_ = reading->log_end;
+        for (const wire::default_version& row : reading->versions.defaults()) {
             state_->set_default_version(row.service(), row.version(), asked_at);
         }
     }
@@ -528,7 +583,7 @@
         defaults_failed_at_ = core_.now();
     }
     for (const on_done& on_end : std::exchange(defaults_wanted_, {})) {
-        on_end(defaults.has_value());
+        on_end(reading.has_value());
     }
 }
 
@@ -540,6 +595,7 @@
         defaults_busy_ = false;
         if (!done) {
             defaults_failed_at_ = core_.now();
+            defaults_log_end_.reset(); // another entry may have written
         }
         if (!defaults_wanted_.empty()) {
             read_defaults([](bool /*done*/) {});
@@ -562,8 +618,10 @@
             row.set_service(service);
             row.set_version(version);
         }
-        hooks_.archive_defaults(message, [this, end, message, restores](bool confirmed) {
+        const std::uint64_t at = *defaults_log_end_;
+        hooks_.archive_defaults(message, at, [this, end, message, at, restores](bool confirmed) {
             if (confirmed && restores == restores_) {
+                defaults_log_end_ = at + 1;
                 on_defaults_archived(message);
             }
             end(confirmed);
--- a/Source/origin_exchange.h
+++ b/Source/origin_exchange.h
@@ -57,7 +57,24 @@
 public:
     using on_done = std::function<void(bool done)>;
     using on_announced = std::function<void(bool archived)>;
-    using on_defaults = std::function<void(const std::optional<wire::stream_origins>& defaults)>;
+    /// The archived default versions, and the offset of the archive's log at which they are in
+    /// force.
+    struct defaults_reading {
+        wire::stream_origins versions;
+        std::uint64_t log_end = 0;
+    };
+    using on_defaults = std::function<void(const std::optional<defaults_reading>& reading)>;
+    /// A record of this process to replace or to add, and those that have expired.
+    struct archive_write {
+        std::uint64_t record = 0; // its number; only this process writes it
+        wire::stream_origins batch;
+        std::vector<std::uint64_t> expired;
+    };
+    struct archived_record {
+        std::string key;
+        wire::stream_origins batch;
+    };
+    using on_archive_read_end = std::function<void(std::optional<std::vector<archived_record>>)>;
     struct hooks {
         /// Sends a message to the peers that hold the streams of all entries; returns the number
         /// of peers.
@@ -68,14 +85,16 @@
         std::function<void(const std::string& peer, const wire::stream_origins&)> send_to;
         /// Whether this entry archives the streams of all.
         std::function<bool()> is_archiver;
-        /// Replaces a record of the archive, of which the slot is the number; passes on whether
-        /// that is confirmed.
-        std::function<void(std::uint64_t slot, const wire::stream_origins&, on_done)> archive;
+        /// Writes to the archive; passes on whether that is confirmed.
+        std::function<void(const archive_write&, on_done)> archive;
         /// Reads the archive; passes nothing on if the store does not answer.
-        std::function<void(std::function<void(std::optional<std::vector<wire::stream_origins>>)>)>
-            read_archive;
-        /// Replaces the archived default versions; passes on whether that is confirmed.
-        std::function<void(const wire::stream_origins&, on_done)> archive_defaults;
+        std::function<void(on_archive_read_end)> read_archive;
+        /// Removes records of processes that have ended.
+        std::function<void(const std::vector<std::string>& keys)> remove_archived;
+        /// Replaces the archived default versions if the log still ends at `at`; passes on whether
+        /// that is confirmed.
+        std::function<void(const wire::stream_origins&, std::uint64_t at, on_done)>
+            archive_defaults;
         /// Reads the archived default versions; passes nothing on if the store does not answer.
         std::function<void(on_defaults)> read_defaults;
         /// Reads the list of backend servers to its present end; passes on whether that was done.
@@ -127,13 +146,16 @@
     void search_archive(std::uint64_t stream);
     void read_archive();
     void on_archive_read(const std::vector<std::uint64_t>& streams,
-                         const std::optional<std::vector<wire::stream_origins>>& batches);
+                         const std::optional<std::vector<archived_record>>& records);
+    void remove_leftovers(const std::vector<archived_record>& records);
+    std::vector<std::uint64_t> expired_records() const;
+    void forget_records(const std::vector<std::uint64_t>& numbers);
     void end_search(std::uint64_t stream, const std::optional<std::string>& version);
     void merge(const wire::stream_origins& batch, bool archived);
 
     void maintain_defaults();
     void read_defaults(on_done on_end);
-    void on_defaults_read(millis asked_at, const std::optional<wire::stream_origins>& defaults);
+    void on_defaults_read(millis asked_at, const std::optional<defaults_reading>& reading);
     void archive_due_defaults();
     void on_defaults_archived(const wire::stream_origins& defaults);
     void broadcast_defaults();
@@ -149,8 +171,11 @@
     std::map<std::uint64_t, search> searches_;            // by stream
     // Streams that a peer has told this entry and that are not known to be archived, by stream.
     std::map<std::uint64_t, std::string> told_by_;
-    std::uint64_t slot_ = 0;                    // of the archive, for the time of the last write
-    wire::stream_origins batch_;                // contents of that slot
+    std::uint64_t record_ = 0;                  // number of the archive's record that is written
+    wire::stream_origins batch_;                // its contents
+    millis record_began_at_{-1000000};          // initially long past
+    std::map<std::uint64_t, millis> records_;   // of this process: when they were last written
+    bool leftovers_removed_ = false;            // by this process, once
     std::vector<std::uint64_t> servers_wanted_; // streams for which the list is to be read next
     bool servers_busy_ = false;                 // one call at a time
     bool read_wanted_ = false;
@@ -164,6 +189,7 @@
     std::vector<on_done> defaults_wanted_;
     millis defaults_failed_at_{-1000000}; // initially long past
     std::optional<millis> defaults_read_at_;
+    std::optional<std::uint64_t> defaults_log_end_; // of the latest reading by this entry
     bool share_due_ = false;
     kernel::timer share_timer_;
     kernel::timer archive_timer_;
--- a/Tests/Relay/origin_exchange_test.cpp
+++ b/Tests/Relay/origin_exchange_test.cpp
@@ -14,8 +14,9 @@
 
 // A store that answers at once, or not at all.
 struct scripted_archive {
-    std::map<std::uint64_t, wire::stream_origins> slots;
+    std::map<std::string, wire::stream_origins> slots; // by key
     wire::stream_origins defaults;
+    std::uint64_t defaults_end = 0; // offset after the last record of the defaults
     bool up = true;
     unsigned writes = 0;
     unsigned reads = 0;
@@ -67,36 +68,51 @@
                     },
                 .is_archiver = [this] { return archives; },
                 .archive =
-                    [&archive](std::uint64_t slot, const wire::stream_origins& batch,
-                               const std::function<void(bool)>& on_end) {
+                    [this, &archive](const origin_exchange::archive_write& write,
+                                     const std::function<void(bool)>& on_end) {
                         ++archive.writes;
+                        last_key = key_of(write.record);
                         if (archive.up) {
-                            archive.slots[slot] = batch;
+                            archive.slots[key_of(write.record)] = write.batch;
+                            for (const std::uint64_t expired : write.expired) {
+                                archive.slots.erase(key_of(expired));
+                            }
                         }
                         on_end(archive.up);
                     },
                 .read_archive =
                     [&archive](const auto& on_end) {
                         ++archive.reads;
-                        std::vector<wire::stream_origins> batches;
-                        for (const auto& [slot, batch] : archive.slots) {
-                            batches.push_back(batch);
+                        std::vector<origin_exchange::archived_record> records;
+                        for (const auto& [key, batch] : archive.slots) {
+                            records.push_back({.key = key, .batch = batch});
+                        }
+                        on_end(archive.up ? std::optional(records) : std::nullopt);
+                    },
+                .remove_archived =
+                    [&archive](const std::vector<std::string>& keys) {
+                        for (const std::string& key : keys) {
+                            archive.slots.erase(key);
                         }
-                        on_end(archive.up ? std::optional(batches) : std::nullopt);
                     },
                 .archive_defaults =
-                    [&archive](const wire::stream_origins& defaults,
+                    [&archive](const wire::stream_origins& defaults, std::uint64_t at,
                                const std::function<void(bool)>& on_end) {
                         ++archive.default_calls;
-                        if (archive.up) {
+                        const bool taken = archive.up && at == archive.defaults_end;
+                        if (taken) {
                             archive.defaults = defaults;
+                            ++archive.defaults_end;
                         }
-                        on_end(archive.up);
+                        on_end(taken);
                     },
                 .read_defaults =
                     [&archive](const auto& on_end) {
                         ++archive.default_calls;
-                        on_end(archive.up ? std::optional(archive.defaults) : std::nullopt);
+                        on_end(archive.up ? std::optional(origin_exchange::defaults_reading{
+                                                .versions = archive.defaults,
+                                                .log_end = archive.defaults_end})
+                                          : std::nullopt);
                     },
                 .read_servers =
                     [this](const auto& on_end) {
@@ -107,6 +123,11 @@
                     }};
     }
 
+    std::string key_of(std::uint64_t record) const
+    {
+        return std::to_string(core.incarnation()) + "-" + std::to_string(record);
+    }
+
     // Lists the first server, and runs until its version is the default.
     void settle_at(const std::string& version)
     {
@@ -171,6 +192,7 @@
     std::vector<wire::stream_origins> replies;
     std::list<std::string> results;
     std::set<std::uint64_t> told;
+    std::string last_key; // of a record that was written, or not
     bool archives = true;
     bool shares = true;                    // the peers hold the streams of all
     bool in_step = true;                   // the store answers reads of the list of servers
@@ -641,3 +663,83 @@
     next.start();
     EXPECT_NE(next.found(1), "v1");
 }
+
+// review/9: guards against streams that are missing in the archive because another entry, which
+// took itself for the only archiver, too, replaced their record.
+TEST(origin_exchange, keeps_the_records_of_several_archivers_apart)
+{
+    scripted_archive archive;
+    {
+        exchanging_entry first(archive);
+        exchanging_entry second(archive);
+        first.settle_at("v1");
+        second.settle_at("v1");
+        std::uint64_t stream = 0;
+        for (exchanging_entry* each : {&first, &second, &first, &second}) {
+            each->list("s2", "v2");
+            each->begin_stream(++stream, "v2");
+            EXPECT_TRUE(each->run_until([&] { return each->told.contains(stream); }));
+        }
+    }
+    exchanging_entry next(archive);
+    next.list("s1", "v1");
+    next.list("s2", "v2");
+    next.start();
+    for (std::uint64_t stream = 1; stream <= 4; ++stream) {
+        EXPECT_EQ(next.found(stream), "v2") << stream;
+    }
+}
+
+// The store may carry a write without an answer out seconds later, in place of a later one.
+TEST(origin_exchange, does_not_write_a_record_again_whose_write_was_not_confirmed)
+{
+    scripted_archive archive;
+    exchanging_entry entry(archive);
+    entry.settle_at("v1");
+    entry.list("s2", "v2");
+    archive.up = false;
+    entry.begin_stream(1, "v2");
+    EXPECT_TRUE(entry.run_until([&] { return archive.writes == 1; }));
+    const std::string unconfirmed = entry.last_key;
+    archive.up = true;
+    EXPECT_TRUE(entry.run_until([&] { return !archive.slots.empty(); }));
+    EXPECT_FALSE(archive.slots.contains(unconfirmed));
+}
+
+// A process that has ended can't remove its own.
+TEST(origin_exchange, removes_old_records_of_processes_that_have_ended)
+{
+    scripted_archive archive;
+    exchanging_entry entry(archive);
+    entry.settle_at("v1");
+    entry.list("s2", "v2");
+    const auto now = static_cast<std::uint64_t>(entry.core.wall_clock().count());
+    archive.slots["old-1"].set_at_ms(now - 121000);
+    archive.slots["recent-1"].set_at_ms(now - 119000);
+    entry.archives = false;
+    EXPECT_EQ(entry.found(1), "v1");
+    EXPECT_TRUE(archive.slots.contains("old-1")) << "the archiver does that";
+    entry.archives = true;
+    EXPECT_EQ(entry.found(2), "v1");
+    EXPECT_FALSE(archive.slots.contains("old-1"));
+    EXPECT_TRUE(archive.slots.contains("recent-1"));
+}
+
+// Guards against a default version that an entry takes back which has not heard of the new one.
+TEST(origin_exchange, does_not_replace_default_versions_that_it_has_not_read)
+{
+    scripted_archive archive;
+    exchanging_entry entry(archive);
+    entry.settle_at("v1");
+    archive.defaults.add_defaults()->set_service("office");
+    archive.defaults.mutable_defaults(1)->set_version("w2");
+    ++archive.defaults_end; // another entry has written
+    entry.state.update_backend({.id = "d1",
+                                .service = "desk",
+                                .address = {.host = "127.0.0.1", .port = 2},
+                                .started_at = 1,
+                                .software_version = "x1"});
+    EXPECT_TRUE(entry.run_until([&] { return archive.defaults.defaults_size() == 3; }));
+    EXPECT_EQ(entry.state.default_version("office"), "w2");
+    EXPECT_EQ(entry.state.default_version("desk"), "x1");
+}
--- a/Tests/Relay/platform_feed_test.cpp
+++ b/Tests/Relay/platform_feed_test.cpp
@@ -131,6 +131,34 @@
     ASSERT_TRUE(wait_for(core, store, [&] { return ends.size() == 4; }));
 }
 
+// review/9: guards against records of the archive that several entries write: their keys came from
+// eight lanes, of which incarnations, which are odd, used four.
+TEST(platform_feed, names_the_writer_in_the_key_of_each_archived_record)
+{
+    kernel core({.program = "test", .instance = "test"});
+    scripted_backend store;
+    core.add(std::make_unique<relay_state>(core, relay_state_options{}));
+    auto& feed = core.add(std::make_unique<platform::platform_feed>(
+        core,
+        platform::platform_feed_options{.store = {.host = "127.0.0.1", .port = store.port()}}));
+    wire::stream_origins batch;
+    batch.set_at_ms(1);
+    const std::vector<std::uint64_t> writers{1, 9, 17};
+    std::size_t confirmed = 0;
+    for (std::size_t index = 0; index < writers.size(); ++index) {
+        feed.archive_origins(writers[index], {.record = 5, .batch = batch, .expired = {3, 4}},
+                             [&](bool done) { confirmed += done ? 1 : 0; });
+        ASSERT_TRUE(wait_for(core, store, [&] { return store.requests() == index + 1; }));
+        const std::string body = store.body(index);
+        const std::string writer = fmt::format("{:016x}", writers[index]);
+        EXPECT_NE(body.find(writer + "-5" + batch.SerializeAsString()), std::string::npos);
+        EXPECT_NE(body.find(writer + "-3"), std::string::npos) << "removed in the same call";
+        EXPECT_TRUE(body.ends_with(writer + "-4"));
+        store.respond(index, response_of("", R"({"Offset":0,"EndOffset":1})"));
+        ASSERT_TRUE(wait_for(core, store, [&] { return confirmed == index + 1; }));
+    }
+}
+
 namespace {
 
 class restored_store : public testing::Test {
