Take a connection on which a write failed for broken

Cause: the error of a reset is reported once. A write that fails takes it, and the read that follows sees an orderly end; libevent reports both together, and on_disconnected looked at the end alone.

Change: an end does not count as orderly once a write has failed.

--- a/Source/client_connection.cpp
+++ b/Source/client_connection.cpp
@@ -380,6 +380,14 @@
         }
     }
 
+    // Whether the connection broke, although a read may see an orderly end: the error of a reset
+    // is reported once, and a write that fails takes it.  libevent stops writing then, and may
+    // report both ends together.
+    bool was_reset(short what) const
+    {
+        return (what & BEV_EVENT_ERROR) != 0 || (bufferevent_get_enabled(channel) & EV_WRITE) == 0;
+    }
+
     void on_disconnected(short what)
     {
         const int error = EVUTIL_SOCKET_ERROR();
@@ -399,7 +407,8 @@
         if (!in_progress(call)) {
             return;
         }
-        if ((what & BEV_EVENT_EOF) != 0 && response_started && !skipping_response) {
+        if ((what & BEV_EVENT_EOF) != 0 && !was_reset(what) && response_started &&
+            !skipping_response) {
             reader.feed_end();
             const bool until_close =
                 reader.complete() && reader.parse_error() == http_parse_error::none;
--- a/Tests/Relay/relay_harness.cpp
+++ b/Tests/Relay/relay_harness.cpp
@@ -209,6 +209,11 @@
     write_all(connections_.at(connection).socket, text);
 }
 
+void scripted_backend::half_close_connection(std::size_t connection)
+{
+    ::shutdown(connections_.at(connection).socket, SHUT_WR);
+}
+
 void scripted_backend::close_connection(std::size_t connection)
 {
     ::close(std::exchange(connections_.at(connection).socket, -1));
--- a/Tests/Relay/relay_harness.h
+++ b/Tests/Relay/relay_harness.h
@@ -55,6 +55,8 @@
     void respond_on_connection(std::size_t connection, const std::string& text);
     /// Closes a connection given by its index; unread bytes cause a TCP reset.
     void close_connection(std::size_t connection);
+    /// Ends what is written to a connection; it can still be read.
+    void half_close_connection(std::size_t connection);
     bool connection_ended(std::size_t connection) const
     {
         return connections_.at(connection).ended;
