Refuse responses whose status is not 100 to 599

Cause: the client took all below 200 for interim responses, and checked no upper bound.

Change: http_reader refuses such a head, so that the call ends as lost at once: a payment gets 502, a safe request goes to another server.

Measured: invalid_status_lines.*, 12 of 26 failed before, none after.

--- a/Source/http_reader.cpp
+++ b/Source/http_reader.cpp
@@ -30,6 +30,10 @@
     });
 }
 
+// Statuses that a response can have (RFC 9110, 15).
+constexpr int first_status = 100;
+constexpr int last_status = 599;
+
 // Returned by the on_headers_complete callback to tell http_parser that the message has no body.
 constexpr int skip_body = 1;
 
@@ -151,6 +155,9 @@
         }
         else {
             head.status = static_cast<int>(parser.status_code);
+            if (head.status < first_status || head.status > last_status) {
+                return fail(http_parse_error::malformed);
+            }
         }
         head.minor_version = parser.http_minor;
         head.chunked = (parser.flags & F_CHUNKED) != 0;
