Take the archive for doubtful after three seconds of silence, not half of that

Streams begin at the default version while the source is silent. An entry that hears of the source from peers is told with the age of their news, so that 1.5 s come about while all is well, and its streams would crowd the default version's servers. An outage shows earlier by a start that is not confirmed. Found by reading the diff; not measured.

--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -19,6 +19,8 @@
 constexpr millis steady_gap = 1500ms;
 // Time after a failure of the archive in which no stream relies on it.
 constexpr millis archive_doubt_time = 1000ms;
+// Age of the last confirmation from which the source, and the archive with it, may be away.
+constexpr millis archive_silence = 3000ms;
 
 } // namespace
 
@@ -82,7 +84,7 @@
 bool relay_state::archive_doubtful() const
 {
     return core_.now() - archive_failed_at_ < archive_doubt_time ||
-           confirmed_at_ <= archive_failed_at_ || source_age() > steady_gap;
+           confirmed_at_ <= archive_failed_at_ || source_age() > archive_silence;
 }
 
 std::optional<std::string> relay_state::preferred_version(const std::string& service) const
