Review: show mixed streams after the restart of an idle worker

Promise: a stream goes on only at the software version that began it (ORDER). Order of events: streams run at one worker; the store is down; an idle worker starts again under its id with other software and cannot register; the first worker ends, and streams go on at the restarted one. The run shows it by what the callers got: each event names the software that made it.

--- a/review/stand-ins-3/deployment.cpp
+++ b/review/stand-ins-3/deployment.cpp
@@ -403,6 +403,12 @@
     return std::any_of(log.begin(), log.end(), [&](const entry& row) { return row.key == key; });
 }
 
+unsigned store::entries_read(const std::string& topic)
+{
+    const std::lock_guard hold(lock_);
+    return static_cast<unsigned>(waiting_[topic].count(logs_[topic].size()));
+}
+
 void store::set_down(bool down)
 {
     record_.line(down ? "store: down, answers 503" : "store: serves again");
@@ -466,7 +472,9 @@
 std::string store::read(const std::string& topic, std::size_t from, millis wait)
 {
     std::unique_lock hold(lock_);
+    const auto own = waiting_[topic].insert(from);
     changed_.wait_for(hold, wait, [&] { return logs_[topic].size() > from || down_ || stopping_; });
+    waiting_[topic].erase(own);
     if (down_) {
         return http_answer("503 Service Unavailable", "");
     }
@@ -535,6 +543,7 @@
         born_ = unix_ms();
         sequence_ = 0;
         alive_ = true;
+        registered_ = false;
     }
     listener_ =
         std::make_unique<listener>(given_.address, [this](stream_socket& from) { serve(from); });
@@ -573,6 +582,7 @@
     while (alive_) {
         const std::string text = entry();
         const bool written = platform_.put("keyed.servers", given_.id, text);
+        registered_ = registered_ || written;
         if (written && sequence_ < 3) {
             record_.line("worker " + given_.id + " is registered: " + text);
         }
--- a/review/stand-ins-3/deployment.h
+++ b/review/stand-ins-3/deployment.h
@@ -124,6 +124,8 @@
     bool put(const std::string& topic, const std::string& key, const std::string& value);
     /// Whether the topic has a record of this key.
     bool holds(const std::string& topic, const std::string& key);
+    /// Number of callers that wait at the end of the topic: they have read all of it.
+    unsigned entries_read(const std::string& topic);
     /// While it is down, it answers each call with 503.
     void set_down(bool down);
     bool down() const { return down_; }
@@ -144,6 +146,7 @@
     std::mutex lock_;
     std::condition_variable changed_;
     std::map<std::string, std::vector<entry>> logs_;
+    std::map<std::string, std::multiset<std::size_t>> waiting_; // offsets of open reads, by topic
     std::atomic<bool> down_ = false;
     std::atomic<bool> stopping_ = false;
     std::unique_ptr<listener> listener_;
@@ -181,6 +184,8 @@
     const options& given() const { return given_; }
     std::string version() const;
     unsigned running() const { return running_; }
+    /// Whether the store has an entry of the present incarnation.
+    bool registered() const { return registered_; }
 
 private:
     void serve(stream_socket& caller);
@@ -197,6 +202,7 @@
     std::uint64_t sequence_ = 0;
     bool alive_ = false;
     std::atomic<unsigned> running_ = 0;
+    std::atomic<bool> registered_ = false;
     std::unique_ptr<listener> listener_;
     std::thread registrar_;
 };
