Review: show unarchived streams that go on at the default version

Promise: a stream goes on only at the software version that began it (ORDER). Order of events: two versions serve; the store is down; streams begin at the version that is not the default one, because the servers of that are full; all entries are killed and start again, the store is back; the callers take their streams up and get the default version. The run shows it by what the callers got: each event names the software that made it.

--- a/review/stand-ins-3/chat.cpp
+++ b/review/stand-ins-3/chat.cpp
@@ -89,7 +89,9 @@
     const auto answer =
         connection.receive(millis(13000), [this](const std::string& part) { take(part); });
     status = answer ? answer->status() : 0;
-    whole = answer && answer->complete;
+    whole = status == 200 && answer->complete;
+    retry_after = millis(
+        answer ? static_cast<int>(1000 * std::atof(answer->header("Retry-After").c_str())) : 200);
     std::string made_by;
     for (const auto& [version, count] : made) {
         made_by += " " + version + ":" + std::to_string(count);
--- a/review/stand-ins-3/chat.h
+++ b/review/stand-ins-3/chat.h
@@ -28,6 +28,7 @@
     std::vector<unsigned> events;         // their numbers, as they came
     int status = 0;
     bool whole = false;
+    millis retry_after{0}; // that the last answer named
 
     /// Sends the request to the entry and reads the answer to its end.  `resumes` is the attempt
     /// that brought the first event; empty for a new stream.
