Review: show streams of a version that came and left in a gap of the log

Promise: a stream goes on only at the software version that began it (ORDER). Order of events: an entry stands still; a worker of another version comes, serves and leaves; the log is compacted; the entry goes on; the other entry is killed; its callers take their streams up and get the default version.

--- a/review/stand-ins-3/deployment.cpp
+++ b/review/stand-ins-3/deployment.cpp
@@ -409,6 +409,14 @@
     return static_cast<unsigned>(waiting_[topic].count(logs_[topic].size()));
 }
 
+void store::compact(const std::string& topic)
+{
+    const std::lock_guard hold(lock_);
+    first_[topic] = logs_[topic].size();
+    record_.line("store: " + topic + " has no records before offset " +
+                 std::to_string(first_[topic]));
+}
+
 void store::set_down(bool down)
 {
     record_.line(down ? "store: down, answers 503" : "store: serves again");
@@ -479,10 +487,10 @@
         return http_answer("503 Service Unavailable", "");
     }
     const std::vector<entry>& log = logs_[topic];
-    if (from > log.size()) {
-        return http_answer("410 Gone", R"({"FirstOffset":0})");
+    if (from > log.size() || from < first_[topic]) {
+        return http_answer("410 Gone", R"({"FirstOffset":)" + std::to_string(first_[topic]) + "}");
     }
-    std::string body = big_endian(log.size(), 8) + big_endian(0, 8);
+    std::string body = big_endian(log.size(), 8) + big_endian(first_[topic], 8);
     for (std::size_t offset = from; offset < log.size(); ++offset) {
         const std::string content =
             static_cast<char>(log[offset].key.size()) + log[offset].key + log[offset].value;
@@ -543,6 +551,7 @@
         born_ = unix_ms();
         sequence_ = 0;
         alive_ = true;
+        left_ = false;
         registered_ = false;
     }
     listener_ =
@@ -551,6 +560,14 @@
     registrar_ = std::thread([this] { check_in(); });
 }
 
+void worker::leave()
+{
+    const std::lock_guard hold(lock_);
+    left_ = true;
+    platform_.put("keyed.servers", given_.id, "");
+    record_.line("worker " + given_.id + " leaves without a word");
+}
+
 void worker::crash()
 {
     {
@@ -579,7 +596,7 @@
 void worker::check_in()
 {
     std::unique_lock hold(lock_);
-    while (alive_) {
+    while (alive_ && !left_) {
         const std::string text = entry();
         const bool written = platform_.put("keyed.servers", given_.id, text);
         registered_ = registered_ || written;
@@ -587,7 +604,7 @@
             record_.line("worker " + given_.id + " is registered: " + text);
         }
         stopped_.wait_for(hold, written ? given_.check_in : millis(100),
-                          [this] { return !alive_; });
+                          [this] { return !alive_ || left_; });
     }
 }
 
--- a/review/stand-ins-3/deployment.h
+++ b/review/stand-ins-3/deployment.h
@@ -126,6 +126,8 @@
     bool holds(const std::string& topic, const std::string& key);
     /// Number of callers that wait at the end of the topic: they have read all of it.
     unsigned entries_read(const std::string& topic);
+    /// Deletes the topic's records from the log; the newest of each key is retained.
+    void compact(const std::string& topic);
     /// While it is down, it answers each call with 503.
     void set_down(bool down);
     bool down() const { return down_; }
@@ -146,6 +148,7 @@
     std::mutex lock_;
     std::condition_variable changed_;
     std::map<std::string, std::vector<entry>> logs_;
+    std::map<std::string, std::size_t> first_;                  // retained offset, by topic
     std::map<std::string, std::multiset<std::size_t>> waiting_; // offsets of open reads, by topic
     std::atomic<bool> down_ = false;
     std::atomic<bool> stopping_ = false;
@@ -179,6 +182,8 @@
 
     /// Starts an incarnation.  It registers itself at once, or as soon as the store answers.
     void start(const std::string& version);
+    /// Removes its entry without a word; it goes on serving until it ends.
+    void leave();
     /// Ends it: all of its connections are reset, and nothing listens any more.
     void crash();
     const options& given() const { return given_; }
@@ -201,6 +206,7 @@
     std::uint64_t born_ = 0;
     std::uint64_t sequence_ = 0;
     bool alive_ = false;
+    bool left_ = false;
     std::atomic<unsigned> running_ = 0;
     std::atomic<bool> registered_ = false;
     std::unique_ptr<listener> listener_;
