Read the archive again after a gap in the list of servers

Callers got streams of two software versions (review/12, ORDER): an entry stands still while a server of another version joins, serves and leaves; the log is compacted, the other entry is killed, and the streams of that version go on at the default version.

Cause: an entry that had read the archive once took "no other version has served" for proof from then on. After 410 the follower lists the newest records, which do not show what came and left, and nobody was told.

record_mirror now notices when its position moves past records that were not received (listing, restore, a peer's newest records) and raises on_gap. Until the archive is read again, a missing record proves nothing; the default version counts as having served throughout the gap, so that it is not replaced within the retention. Skipped updates of one incarnation of a server are no gap.

--- a/Source/event_log.cpp
+++ b/Source/event_log.cpp
@@ -183,6 +183,7 @@
         {event_id::entry_listed, severity::info, "entry_listed"},
         {event_id::entries_unlisted, severity::info, "entries_unlisted"},
         {event_id::foreign_peer, severity::warning, "foreign_peer"},
+        {event_id::backends_skipped, severity::info, "backends_skipped"},
         {event_id::rollout_ordered, severity::info, "rollout_ordered"},
         {event_id::rollout_moved, severity::info, "rollout_moved"},
         {event_id::rollout_halted, severity::warning, "rollout_halted"},
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -93,6 +93,7 @@
     entry_listed = 1827,
     entries_unlisted = 1828,
     foreign_peer = 1829,
+    backends_skipped = 1830,
     rollout_ordered = 1901,
     rollout_moved = 1902,
     rollout_halted = 1903,
@@ -108,7 +109,7 @@
     std::string_view name;
 };
 
-inline constexpr std::size_t event_count = 78;
+inline constexpr std::size_t event_count = 79;
 
 /// Catalogue of all events, sorted by number.
 const std::array<event_description, event_count>& event_catalogue();
--- a/Source/log_follower.cpp
+++ b/Source/log_follower.cpp
@@ -173,8 +173,9 @@
     hooks_.on_page_received();
     for (mirrored_record& record : page.records) {
         record.era = mirror_.era();
-        mirror_.advance(record.offset + 1);
+        const std::uint64_t next = record.offset + 1;
         mirror_.apply(std::move(record));
+        mirror_.advance(next);
     }
     const bool advanced = page.next_offset > mirror_.position().value_or(0);
     mirror_.advance(page.next_offset);
--- a/Source/origin_exchange.cpp
+++ b/Source/origin_exchange.cpp
@@ -331,7 +331,7 @@
 }
 
 // While servers of the default version alone have served, no stream can have begun elsewhere.  What
-// served before this process has started, the archive tells.
+// served before this process started, or in a gap of the list of servers, only the archive tells.
 void origin_exchange::on_servers_read(std::uint64_t stream, bool done)
 {
     const auto found = searches_.find(stream);
@@ -344,7 +344,8 @@
     }
     const std::string service = found->second.service;
     const std::optional<std::string> version = state_->default_version(service);
-    if (past_read_ && version && !state_->others_served(service, *version)) {
+    if (state_->origins().versions_known() && version &&
+        !state_->others_served(service, *version)) {
         end_search(stream, version);
         return;
     }
@@ -378,17 +379,17 @@
         }
     }
     // A default version may have changed since it was read.
-    read_defaults([this, streams](bool done) {
+    read_defaults([this, streams, gap = state_->origins().gaps()](bool done) {
         if (!done) {
-            on_archive_read(streams, std::nullopt);
+            on_archive_read(streams, gap, std::nullopt);
             return;
         }
         hooks_.read_archive(
-            [this, streams](const auto& records) { on_archive_read(streams, records); });
+            [this, streams, gap](const auto& records) { on_archive_read(streams, gap, records); });
     });
 }
 
-void origin_exchange::on_archive_read(const std::vector<std::uint64_t>& streams,
+void origin_exchange::on_archive_read(const std::vector<std::uint64_t>& streams, unsigned gap,
                                       const std::optional<std::vector<archived_record>>& records)
 {
     archive_busy_ = false;
@@ -409,7 +410,7 @@
         merge(batch, true);
     }
     if (records) {
-        past_read_ = true;
+        state_->origins().note_archive_read(gap);
     }
     else {
         archive_failed_at_ = core_.now();
--- a/Source/origin_exchange.h
+++ b/Source/origin_exchange.h
@@ -145,7 +145,7 @@
     void on_servers_read(std::uint64_t stream, bool done);
     void search_archive(std::uint64_t stream);
     void read_archive();
-    void on_archive_read(const std::vector<std::uint64_t>& streams,
+    void on_archive_read(const std::vector<std::uint64_t>& streams, unsigned gap,
                          const std::optional<std::vector<archived_record>>& records);
     void remove_leftovers(const std::vector<archived_record>& records);
     std::vector<std::uint64_t> expired_records() const;
@@ -184,7 +184,6 @@
     millis archive_due_at_{-1000000};    // end of that pause; initially long past
     unsigned restores_ = 0;              // restores of the store that were noticed
     millis archive_failed_at_{-1000000}; // initially long past
-    bool past_read_ = false;             // the archive was read since the start
     bool defaults_busy_ = false;         // one call at a time
     std::vector<on_done> defaults_wanted_;
     millis defaults_failed_at_{-1000000}; // initially long past
--- a/Source/record_mirror.cpp
+++ b/Source/record_mirror.cpp
@@ -3,6 +3,7 @@
 #include "hashing.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -41,6 +42,8 @@
     }
     era_ = era;
     position_.reset();
+    received_.clear();
+    discontinued_.clear();
     tombstones_complete_from_ = 0;
     hidden_.clear();
     earlier_contents_ = std::exchange(contents_, {});
@@ -131,12 +134,44 @@
     }
 }
 
+void record_mirror::note_received(const mirrored_record& record)
+{
+    if (record.era != era_ || !position_ || record.offset < *position_ ||
+        !received_.insert(record.offset).second) {
+        return;
+    }
+    const bool contiguous =
+        record.offset == *position_ + received_.size() - 1 && record.offset == *received_.rbegin();
+    if (contiguous) {
+        return;
+    }
+    const mirrored_record* known = find(record.key);
+    const bool continued = known != nullptr && known->era == era_ && known->value && record.value &&
+                           hooks_.continues && hooks_.continues(*known, record);
+    if (!continued) {
+        discontinued_.insert(record.offset);
+    }
+}
+
+// Whether a value that the mirror has not seen may lie between its current position and this one.
+bool record_mirror::skips_records(std::uint64_t position) const
+{
+    if (!position_) {
+        return true;
+    }
+    const auto received = static_cast<std::uint64_t>(
+        std::distance(received_.begin(), received_.lower_bound(position)));
+    return received < position - *position_ &&
+           (received == 0 || (!discontinued_.empty() && *discontinued_.begin() < position));
+}
+
 bool record_mirror::apply(mirrored_record record)
 {
     if (record.era < era_ && !accepts_lost_) {
         return false;
     }
     note_contents(record);
+    note_received(record);
     const auto known = records_.find(record.key);
     if (known == records_.end() || newer(record, known->second)) {
         replace(std::move(record));
@@ -164,6 +199,8 @@
         listed.insert(record.key);
         apply(std::move(record));
     }
+    // A listing does not show the keys that came and went.
+    const bool skips = !position_ || end > *position_;
     std::vector<std::string> dropped;
     for (const auto& [key, record] : records_) {
         if (record.value && record.era == era_ && record.offset < end && !listed.contains(key)) {
@@ -178,12 +215,25 @@
         return item.second.offset < end && !listed.contains(item.first);
     });
     tombstones_complete_from_ = std::max(tombstones_complete_from_, end);
-    advance(end);
+    move_to(end, skips);
 }
 
 void record_mirror::advance(std::uint64_t position)
 {
-    position_ = std::max(position_.value_or(0), position);
+    move_to(position, skips_records(position));
+}
+
+void record_mirror::move_to(std::uint64_t position, bool skips)
+{
+    if (position_ && position <= *position_) {
+        return;
+    }
+    position_ = position;
+    received_.erase(received_.begin(), received_.lower_bound(position));
+    discontinued_.erase(discontinued_.begin(), discontinued_.lower_bound(position));
+    if (skips && hooks_.on_gap) {
+        hooks_.on_gap();
+    }
 }
 
 std::uint64_t record_mirror::end_of_era(std::uint64_t era) const
--- a/Source/record_mirror.h
+++ b/Source/record_mirror.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,12 @@
         std::function<std::partial_ordering(const mirrored_record& left,
                                             const mirrored_record& right)>
             compare_versions;
+        /// Whether nothing but updates of the same thing can lie between these two values of a key.
+        /// If unset, that is never known.  Optional.
+        std::function<bool(const mirrored_record& earlier, const mirrored_record& later)> continues;
+        /// Called when the position has moved past records that were not received, so that values
+        /// may have come and gone unnoticed; also after the first listing.  Optional.
+        std::function<void()> on_gap;
         /// Called when an era has begun; `restored` is false for the first that is known.
         /// Optional.
         std::function<void(bool restored)> on_era;
@@ -59,8 +66,8 @@
     /// Applies a listing of all keys of the current era as of offset `end`.  Known keys that it
     /// lacks are marked as deleted, unless their record is at `end` or later, or lost.
     void apply_listing(std::vector<mirrored_record> records, std::uint64_t end);
-    /// Notes that all records before offset `position` are applied; ignored if it is not higher
-    /// than the current position.
+    /// Notes that the newest records of all keys before offset `position` are applied; ignored if
+    /// it is not higher than the current position.
     void advance(std::uint64_t position);
 
     /// Offset before which all records are applied; empty before the first listing of the current
@@ -95,6 +102,9 @@
 private:
     bool newer(const mirrored_record& candidate, const mirrored_record& known) const;
     void replace(mirrored_record record);
+    void note_received(const mirrored_record& record);
+    bool skips_records(std::uint64_t position) const;
+    void move_to(std::uint64_t position, bool skips);
     bool is_lost(const mirrored_record& record) const;
     void note_contents(const mirrored_record& record);
     void apply_hidden();
@@ -113,6 +123,10 @@
     std::map<std::uint64_t, std::uint64_t> earlier_contents_;
     bool accepts_lost_ = true;
     std::optional<std::uint64_t> position_;
+    // Offsets from `position_` on whose records have been received, and those of them before which
+    // their keys may have had other values since `position_`.
+    std::set<std::uint64_t> received_;
+    std::set<std::uint64_t> discontinued_;
     std::uint64_t tombstones_complete_from_ = 0;
 };
 
--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -49,6 +49,14 @@
     }
 }
 
+void relay_state::backends_skipped()
+{
+    note_versions();
+    origins_.note_gap(core_.now());
+    log_event(event_id::backends_skipped, "gaps={} backends={}", origins_.gaps(),
+              backends_.all().size());
+}
+
 bool relay_state::others_served(const std::string& service, const std::string& version)
 {
     note_versions();
--- a/Source/relay_state.h
+++ b/Source/relay_state.h
@@ -114,6 +114,9 @@
                              millis read_at);
     /// Whether servers of another version have served lately.
     bool others_served(const std::string& service, const std::string& version);
+    /// Records that values of the list of backend servers were skipped, so that servers may have
+    /// come and left unnoticed.
+    void backends_skipped();
     /// Notes the versions of the listed servers.
     void note_versions();
     /// Records where a stream of this entry begins.  Its caller may get no event before `on_told`
--- a/Source/stream_origins.cpp
+++ b/Source/stream_origins.cpp
@@ -162,6 +162,15 @@
            });
 }
 
+void stream_origins::note_gap(millis now)
+{
+    ++gaps_;
+    // Servers of the default version may have begun streams without a record meanwhile.
+    for (const auto& [service, entry] : defaults_) {
+        versions_[service][entry.version] = now;
+    }
+}
+
 void stream_origins::set_default(const std::string& service, const std::string& version,
                                  millis read_at)
 {
--- a/Source/stream_origins.h
+++ b/Source/stream_origins.h
@@ -82,6 +82,16 @@
     /// Whether servers of another version than this one have served within the retention period.
     bool others_served(const std::string& service, const std::string& version, millis now) const;
 
+    /// Notes that servers may have come and left unnoticed until now, at any version.
+    void note_gap(millis now);
+    /// Number of such gaps.
+    unsigned gaps() const { return gaps_; }
+    /// Notes that the archive was read, and its streams merged, since gap number `gap`.
+    void note_archive_read(unsigned gap) { archive_read_since_ = gap; }
+    /// Whether every version at which streams were recorded is known: the archive was read since
+    /// the last gap, and the list of servers followed from then on.
+    bool versions_known() const { return archive_read_since_ == gaps_; }
+
     /// Sets the default version of a service, as the archive held it at `read_at`; ignored if a
     /// later reading is known.
     void set_default(const std::string& service, const std::string& version, millis read_at);
@@ -142,6 +152,8 @@
     // When a server of each version was last listed, by service and version.
     std::map<std::string, std::map<std::string, millis>> versions_;
     std::map<std::string, default_entry> defaults_; // by service
+    unsigned gaps_ = 0;
+    std::optional<unsigned> archive_read_since_; // number of gaps before the last reading
 };
 
 } // namespace cyclamen
--- a/Tests/Decisions/stream_origins_test.cpp
+++ b/Tests/Decisions/stream_origins_test.cpp
@@ -127,6 +127,20 @@
     EXPECT_TRUE(origins.defaults_due(61000ms).empty()) << "two versions serve, neither by default";
 }
 
+// review/12: guards against a new default version while streams of the old one may still have no
+// record: its servers may have come back and left in a gap of the list.
+TEST(stream_origins, wait_for_the_retention_after_a_gap_before_they_propose_a_default_version)
+{
+    stream_origins origins;
+    origins.set_default("shop", "v1", 0ms);
+    origins.note_version("shop", "v1", 0ms);
+    origins.note_version("shop", "v2", 59000ms);
+    origins.note_gap(59000ms);
+    origins.note_version("shop", "v2", 118999ms);
+    EXPECT_TRUE(origins.defaults_due(118999ms).empty());
+    EXPECT_EQ(origins.defaults_due(119000ms).at("shop"), "v2");
+}
+
 TEST(stream_origins, propose_no_default_version_while_several_serve)
 {
     stream_origins origins;
--- a/Tests/Relay/origin_exchange_test.cpp
+++ b/Tests/Relay/origin_exchange_test.cpp
@@ -21,6 +21,7 @@
     unsigned writes = 0;
     unsigned reads = 0;
     unsigned default_calls = 0;
+    std::function<void()> on_read; // called before each reading of the slots
 
     std::string default_version() const
     {
@@ -83,6 +84,9 @@
                 .read_archive =
                     [&archive](const auto& on_end) {
                         ++archive.reads;
+                        if (archive.on_read) {
+                            archive.on_read();
+                        }
                         std::vector<origin_exchange::archived_record> records;
                         for (const auto& [key, batch] : archive.slots) {
                             records.push_back({.key = key, .batch = batch});
@@ -538,6 +542,45 @@
     EXPECT_EQ(entry.found(1), "v2");
 }
 
+// review/12: guards against streams of a version that came and left in a gap of the list of
+// servers: an entry that has missed it must ask the archive, although it has read that before.
+TEST(origin_exchange, reads_the_archive_again_after_a_gap_in_the_list_of_servers)
+{
+    scripted_archive archive;
+    exchanging_entry first(archive);
+    exchanging_entry behind(archive);
+    first.settle_at("v1");
+    behind.settle_at("v1");
+    EXPECT_EQ(behind.found(7), "v1");
+    first.list("s2", "v2");
+    first.begin_stream(1, "v2");
+    EXPECT_TRUE(first.run_until([&] { return first.told.contains(1); }));
+    first.state.remove_backend("s2");
+    behind.on_read_servers = [&] { // lists the newest records
+        behind.state.backends_skipped();
+        behind.on_read_servers = nullptr;
+    };
+    EXPECT_EQ(behind.found(1), "v2");
+    EXPECT_EQ(behind.found(8), "v1");
+}
+
+// The same where the gap is noticed while the archive is being read.
+TEST(origin_exchange, reads_the_archive_again_after_a_gap_during_a_reading)
+{
+    scripted_archive archive;
+    exchanging_entry entry(archive);
+    entry.settle_at("v1");
+    archive.on_read = [&] {
+        entry.state.backends_skipped();
+        archive.on_read = nullptr;
+    };
+    EXPECT_EQ(entry.found(7), "v1");
+    EXPECT_EQ(entry.found(8), "v1");
+    EXPECT_EQ(archive.reads, 2U);
+    EXPECT_EQ(entry.found(9), "v1");
+    EXPECT_EQ(archive.reads, 2U);
+}
+
 namespace {
 
 // Lets entries handle what they were sent, as if they had run meanwhile.
