Begin streams without a record only where a missing record is true

Cause: while the archive could not confirm a record, a stream that found no slot at the default version went on elsewhere, known to the entries alone.

A stream whose record the archive can't confirm begins at its default version or not at all; one that began elsewhere before the outage showed begins again there, or fails with 502. And the default version is no longer one for all streams: the versions of a service share them by a hash of the stream's id, in proportion to their slots, so that an outage fills all servers. New shares are archived only after all entries have accepted them and the streams that they would move are recorded; not within 90 s of the loss of an entry.

--- a/Source/backend_chooser.cpp
+++ b/Source/backend_chooser.cpp
@@ -303,14 +303,14 @@
     return server.health.is_outlier(others_failure_rate, table.peer_outcomes(server, now), now);
 }
 
-// Mean load of the servers that the request prefers; 0 if there are none.
-double backend_chooser::preferred_mean(const pool_state& pool, const backend_criteria& criteria,
-                                       millis now)
+// Mean load of the servers at which the request may begin; 0 if there are none.
+double backend_chooser::admitted_mean(const pool_state& pool, const backend_criteria& criteria,
+                                      millis now)
 {
     unsigned servers = 0;
     unsigned load = 0;
     for (const backend* server : pool.servers) {
-        if (!criteria.prefers(*server)) {
+        if (!criteria.admits_start(*server)) {
             continue;
         }
         ++servers;
@@ -319,13 +319,13 @@
     return servers == 0 ? 0 : static_cast<double>(load) / servers;
 }
 
-bool backend_chooser::has_room(const backend_table& table, const backend_criteria& criteria,
-                               const std::string& software_version, millis now)
+bool backend_chooser::has_server(const backend_table& table, const backend_criteria& criteria,
+                                 const std::string& software_version, millis now)
 {
     const std::vector<backend*> usable = table.usable(criteria.service);
     return std::any_of(usable.begin(), usable.end(), [&](const backend* server) {
         const bool tried = criteria.tried != nullptr && criteria.tried->contains(server->entry.id);
-        return server->entry.software_version == software_version && !tried && !server->full(now) &&
+        return server->entry.software_version == software_version && !tried &&
                !server->health.in_backoff(now) &&
                !table.words().rest_end(server->incarnation(), now) &&
                table.trust(*server, now) != software_trust::restarted;
@@ -365,18 +365,23 @@
         choice.reason = reason;
         may_pass_soon = true;
     };
-    choice.reason = criteria.software_version ? no_server_of_version : "all_tried";
+    choice.reason = criteria.software_version || criteria.unrecorded_version ? no_server_of_version
+                                                                             : "all_tried";
     std::vector<backend*> candidates = order_candidates(pool, criteria, now);
-    const double preferred_bound =
-        std::max(bound, options_.load_multiple * preferred_mean(pool, criteria, now) + margin);
-    std::stable_partition(candidates.begin(), candidates.end(),
-                          [&](const backend* server) { return criteria.prefers(*server); });
+    // The servers of one version may have to take what all would take otherwise.
+    const double start_bound =
+        criteria.unrecorded_version
+            ? std::max(bound, options_.load_multiple * admitted_mean(pool, criteria, now) + margin)
+            : bound;
     for (backend* server : candidates) {
         ++rank;
         if (criteria.software_version &&
             server->entry.software_version != *criteria.software_version) {
             continue;
         }
+        if (!criteria.admits_start(*server)) {
+            continue;
+        }
         if (choice.reason == no_server_of_version) {
             choice.reason = "all_tried";
         }
@@ -415,9 +420,8 @@
             continue;
         }
         const unsigned load = server->load(now);
-        const bool overloaded = criteria.prefers(*server)
-                                    ? load + 1 > preferred_bound || server->full(now)
-                                    : load + 1 > bound;
+        const bool overloaded =
+            load + 1 > start_bound || (criteria.unrecorded_version && server->full(now));
         if (overloaded || trust == software_trust::doubtful ||
             is_outlier(table, pool, *server, now)) {
             if (fallback == nullptr || load < fallback->load(now)) {
--- a/Source/backend_chooser.h
+++ b/Source/backend_chooser.h
@@ -77,13 +77,12 @@
     const std::set<std::string>* tried = nullptr; // ids of servers to skip; may be null
     std::optional<std::string> software_version;  // the only one that can run the request
     std::optional<version_filter> versions;       // that a roll-out admits
-    // Servers of this version come first as long as they have a free slot, whatever their load is
-    // compared with that of the others.
-    std::optional<std::string> preferred_version;
+    // The only version at which the stream can begin without a record, if it can't be recorded.
+    std::optional<std::string> unrecorded_version;
 
-    bool prefers(const backend& server) const
+    bool admits_start(const backend& server) const
     {
-        return preferred_version && server.entry.software_version == *preferred_version;
+        return !unrecorded_version || server.entry.software_version == *unrecorded_version;
     }
     /// Hash of the longest shared prefix of the prompt, which determines the placement.
     std::optional<std::uint64_t> placement_prefix() const
@@ -149,9 +148,9 @@
 
     backend_choice choose(backend_table& table, const relay_service& service,
                           const backend_criteria& criteria, millis now);
-    /// Whether a server of the version, other than those tried, has a free slot.
-    static bool has_room(const backend_table& table, const backend_criteria& criteria,
-                         const std::string& software_version, millis now);
+    /// Whether a server of the version, other than those tried, may take the request.
+    static bool has_server(const backend_table& table, const backend_criteria& criteria,
+                           const std::string& software_version, millis now);
 
 private:
     struct pool_state {
@@ -170,8 +169,8 @@
     double random_deviation();
     void record_even_choice(const pool_state& pool, backend_choice& choice, millis now);
 
-    static double preferred_mean(const pool_state& pool, const backend_criteria& criteria,
-                                 millis now);
+    static double admitted_mean(const pool_state& pool, const backend_criteria& criteria,
+                                millis now);
     std::vector<backend*> order_candidates(const pool_state& pool, const backend_criteria& criteria,
                                            millis now);
     std::vector<backend*> order_by_load(const pool_state& pool, millis now) const;
--- a/Source/event_log.cpp
+++ b/Source/event_log.cpp
@@ -184,6 +184,8 @@
         {event_id::entries_unlisted, severity::info, "entries_unlisted"},
         {event_id::foreign_peer, severity::warning, "foreign_peer"},
         {event_id::backends_skipped, severity::info, "backends_skipped"},
+        {event_id::default_versions_proposed, severity::info, "default_versions_proposed"},
+        {event_id::default_versions_withdrawn, severity::info, "default_versions_withdrawn"},
         {event_id::rollout_ordered, severity::info, "rollout_ordered"},
         {event_id::rollout_moved, severity::info, "rollout_moved"},
         {event_id::rollout_halted, severity::warning, "rollout_halted"},
--- a/Source/event_log.h
+++ b/Source/event_log.h
@@ -94,6 +94,8 @@
     entries_unlisted = 1828,
     foreign_peer = 1829,
     backends_skipped = 1830,
+    default_versions_proposed = 1831,
+    default_versions_withdrawn = 1832,
     rollout_ordered = 1901,
     rollout_moved = 1902,
     rollout_halted = 1903,
@@ -109,7 +111,7 @@
     std::string_view name;
 };
 
-inline constexpr std::size_t event_count = 79;
+inline constexpr std::size_t event_count = 81;
 
 /// Catalogue of all events, sorted by number.
 const std::array<event_description, event_count>& event_catalogue();
--- a/Source/log_follower.h
+++ b/Source/log_follower.h
@@ -19,6 +19,13 @@
     failed,    // no response, or a malformed one
 };
 
+/// Result of an append to a log of keyed records.
+enum class log_append_status {
+    confirmed,
+    refused, // nothing was appended, nor will be
+    unknown, // no response, or one that proves nothing
+};
+
 /// The response to one list or read call.
 struct keyed_log_page {
     log_call_status end = log_call_status::failed; // status of the call
--- a/Source/origin_exchange.cpp
+++ b/Source/origin_exchange.cpp
@@ -1,6 +1,7 @@
 #include "origin_exchange.h"
 
 #include "event_log.h"
+#include "hashing.h"
 #include "relay_state.h"
 
 #include <nlohmann/json.hpp>
@@ -48,6 +49,45 @@
                          .unarchived = row.unarchived()};
 }
 
+using wire_defaults = google::protobuf::RepeatedPtrField<wire::default_version>;
+using shares_by_service = std::map<std::string, version_shares>;
+
+shares_by_service shares_of(const wire_defaults& rows)
+{
+    std::map<std::string, std::vector<version_share>> shares;
+    for (const wire::default_version& row : rows) {
+        shares[row.service()].push_back(
+            {.version = row.version(), .weight = std::max(1U, row.weight())});
+    }
+    shares_by_service result;
+    for (auto& [service, versions] : shares) {
+        result.emplace(service, version_shares(std::move(versions)));
+    }
+    return result;
+}
+
+void add_shares(const shares_by_service& shares, millis age, wire_defaults& to)
+{
+    for (const auto& [service, versions] : shares) {
+        for (const version_share& share : versions.rows()) {
+            wire::default_version& row = *to.Add();
+            row.set_service(service);
+            row.set_version(share.version);
+            row.set_age_ms(static_cast<std::uint32_t>(age.count()));
+            row.set_weight(share.weight);
+        }
+    }
+}
+
+// Whether `part` is contained in `shares`.
+bool contains(const shares_by_service& shares, const shares_by_service& part)
+{
+    return std::all_of(part.begin(), part.end(), [&](const auto& row) {
+        const auto found = shares.find(row.first);
+        return found != shares.end() && found->second == row.second;
+    });
+}
+
 } // namespace
 
 origin_exchange::origin_exchange(kernel& core, origin_exchange_options options, hooks collaborators)
@@ -65,6 +105,9 @@
     state_->announce_origin = [this](std::uint64_t stream, origin_duty duty, on_announced on_told) {
         announce(stream, duty, std::move(on_told));
     };
+    state_->on_version_without_share = [this] {
+        version_timer_ = core_.after(0ms, [this] { maintain_defaults(); });
+    };
     started_at_ = core_.now();
     archive_timer_ = core_.every(options_.archive_interval, [this] { archive(); });
     defaults_timer_ = core_.every(defaults_check_interval, [this] { maintain_defaults(); });
@@ -258,6 +301,7 @@
     if (for_all.archived_size() > 0) {
         hooks_.broadcast(for_all);
     }
+    check_proposal();
 }
 
 // While the store is away, all entries take themselves for the archiver: their calls must not use
@@ -270,6 +314,9 @@
     archive_pause_ =
         std::clamp(2 * archive_pause_, options_.archive_interval, options_.archive_retry);
     archive_due_at_ = core_.now() + core_.jittered(archive_pause_);
+    if (proposal_ && !proposal_->written) {
+        withdraw_proposal();
+    }
 }
 
 void origin_exchange::store_restored()
@@ -279,6 +326,7 @@
     state_->origins().defaults_lost();
     defaults_read_at_.reset();
     defaults_log_end_.reset();
+    proposal_.reset();
 }
 
 void origin_exchange::search_for(std::uint64_t stream, const std::string& service,
@@ -343,7 +391,7 @@
         return;
     }
     const std::string service = found->second.service;
-    const std::optional<std::string> version = state_->default_version(service);
+    const std::optional<std::string> version = state_->default_version(service, stream);
     if (state_->origins().versions_known() && version &&
         !state_->others_served(service, *version)) {
         end_search(stream, version);
@@ -426,7 +474,8 @@
         const std::string service = found->second.service;
         const std::optional<std::string> recorded = state_->known_origin(stream, service);
         // All streams that began elsewhere are recorded.
-        end_search(stream, recorded || !records ? recorded : state_->default_version(service));
+        end_search(stream,
+                   recorded || !records ? recorded : state_->default_version(service, stream));
     }
     if (read_wanted_) {
         read_archive();
@@ -508,7 +557,9 @@
             search_servers(stream);
         }
     }
+    note_acceptance(message);
     wire::stream_origins reply;
+    accept_proposal(message, reply);
     for (const wire::stream_origin& row : message.wanted()) {
         if (row.service() >= static_cast<std::uint32_t>(message.names_size())) {
             continue;
@@ -521,7 +572,7 @@
             reply.add_unknown(row.stream());
         }
     }
-    if (reply.origins_size() + reply.unknown_size() == 0) {
+    if (reply.origins_size() + reply.unknown_size() == 0 && reply.accepted() == 0) {
         return std::nullopt;
     }
     return reply;
@@ -533,6 +584,7 @@
     const millis now = core_.now();
     std::erase_if(told_by_,
                   [this](const auto& row) { return !state_->origins().contains(row.first); });
+    end_old_proposal();
     if (defaults_busy_ || now - defaults_failed_at_ < options_.archive_retry) {
         return;
     }
@@ -546,8 +598,13 @@
         });
         return;
     }
-    if (!archives || now - started_at_ < options_.settle_time ||
-        state_->origins().defaults_due(now).empty()) {
+    if (!archives || now - started_at_ < options_.settle_time) {
+        return;
+    }
+    if (!proposal_ && now - proposed_at_ >= options_.archive_retry) {
+        propose_shares(shares_due());
+    }
+    if (defaults_busy_ || (state_->origins().defaults_due(now).empty() && !proposal_is_ready())) {
         return;
     }
     if (!defaults_log_end_) { // this entry has only heard of them
@@ -557,6 +614,129 @@
     archive_due_defaults();
 }
 
+// Default versions in proportion to the slots of the listed servers, of services where the present
+// ones differ too much.
+shares_by_service origin_exchange::shares_due() const
+{
+    shares_by_service due;
+    for (const auto& [service, slots] : state_->slots_by_version()) {
+        const auto shares = state_->origins().shares_due(service, slots, core_.now());
+        if (shares && streams_are_known(service)) {
+            due.emplace(service, *shares);
+        }
+    }
+    return due;
+}
+
+// Whether the entries that are heard know all streams of the service that began without a record
+// and may still be taken up.
+bool origin_exchange::streams_are_known(const std::string& service) const
+{
+    const auto calm_since = [&](millis since) { return core_.now() - since >= options_.calm_time; };
+    const auto lost_at = hooks_.membership().lost_at;
+    const bool first = first_reading_ && !first_reading_->contains(service);
+    return (!lost_at || calm_since(*lost_at)) && (first || calm_since(started_at_));
+}
+
+// Lets all entries record from now on what needs a record under other default versions, and tell
+// which of their present streams do.
+void origin_exchange::propose_shares(shares_by_service shares)
+{
+    if (shares.empty() || state_->archive_doubtful()) {
+        return;
+    }
+    proposed_at_ = core_.now();
+    proposal_ = proposal{.number = combine_hashes(core_.incarnation(), ++proposals_),
+                         .shares = std::move(shares),
+                         .membership = hooks_.membership().changes,
+                         .since = core_.now()};
+    wire::stream_origins message;
+    message.set_proposal(proposal_->number);
+    add_shares(proposal_->shares, 0ms, *message.mutable_proposed());
+    for (const auto& [service, versions] : proposal_->shares) {
+        for (const stream_origin& origin :
+             state_->origins().propose(proposal_->number, service, versions, core_.now())) {
+            proposal_->streams.insert(origin.stream);
+        }
+        log_event(event_id::default_versions_proposed, "service={} software={} streams={}", service,
+                  versions.text(), proposal_->streams.size());
+    }
+    proposal_->asked = hooks_.broadcast(message);
+    archive();
+}
+
+void origin_exchange::accept_proposal(const wire::stream_origins& message,
+                                      wire::stream_origins& reply)
+{
+    if (message.proposal() == 0) {
+        return;
+    }
+    if (message.proposed().empty()) {
+        state_->origins().withdraw_proposal(message.proposal());
+        return;
+    }
+    for (const auto& [service, versions] : shares_of(message.proposed())) {
+        for (const stream_origin& origin :
+             state_->origins().propose(message.proposal(), service, versions, core_.now())) {
+            add_origin(origin, reply);
+        }
+    }
+    reply.set_accepted(message.proposal());
+    reply.set_acceptor(core_.incarnation());
+}
+
+void origin_exchange::note_acceptance(const wire::stream_origins& message)
+{
+    if (!proposal_ || message.accepted() != proposal_->number) {
+        return;
+    }
+    proposal_->accepted.insert(message.acceptor());
+    for (const wire::stream_origin& row : message.origins()) {
+        proposal_->streams.insert(row.stream());
+    }
+    archive();
+    check_proposal();
+}
+
+// Whether no stream is left that would be taken for one of another version.
+bool origin_exchange::proposal_is_ready() const
+{
+    const auto needs_no_record = [this](std::uint64_t stream) {
+        return state_->origins().is_archived(stream) || !state_->origins().contains(stream);
+    };
+    return proposal_ && proposal_->accepted.size() >= proposal_->asked &&
+           hooks_.membership().changes == proposal_->membership &&
+           std::all_of(proposal_->streams.begin(), proposal_->streams.end(), needs_no_record);
+}
+
+void origin_exchange::check_proposal()
+{
+    if (proposal_is_ready()) {
+        maintain_defaults();
+    }
+}
+
+// A write that was not confirmed may be carried out for as long as the entries expect it.
+void origin_exchange::end_old_proposal()
+{
+    if (proposal_ && core_.now() - proposal_->since >=
+                         (proposal_->written ? stream_origins_options{}.default_lifetime
+                                             : options_.proposal_timeout)) {
+        withdraw_proposal();
+    }
+}
+
+void origin_exchange::withdraw_proposal()
+{
+    log_event(event_id::default_versions_withdrawn, "accepted={} peers={} written={}",
+              proposal_->accepted.size(), proposal_->asked, proposal_->written);
+    wire::stream_origins message;
+    message.set_proposal(proposal_->number);
+    hooks_.broadcast(message);
+    state_->origins().withdraw_proposal(proposal_->number);
+    proposal_.reset();
+}
+
 void origin_exchange::read_defaults(on_done on_end)
 {
     defaults_wanted_.push_back(std::move(on_end));
@@ -576,8 +756,15 @@
     if (reading) {
         defaults_read_at_ = asked_at;
         defaults_log_end_ = reading->log_end;
-        for (const wire::default_version& row : reading->versions.defaults()) {
-            state_->set_default_version(row.service(), row.version(), asked_at);
+        const shares_by_service shares = shares_of(reading->versions.defaults());
+        std::set<std::string> services;
+        for (const auto& [service, versions] : shares) {
+            services.insert(service);
+            state_->set_default_versions(service, versions, asked_at);
+        }
+        first_reading_ = first_reading_.value_or(services);
+        if (proposal_ && contains(shares, proposal_->shares)) {
+            proposal_.reset(); // its write was carried out
         }
     }
     else {
@@ -604,29 +791,34 @@
     };
     hooks_.read_servers([this, end, restores = restores_](bool done) {
         state_->note_versions();
-        std::map<std::string, std::string> versions = state_->origins().default_versions();
-        const auto due = state_->origins().defaults_due(core_.now());
+        shares_by_service versions = state_->origins().default_versions();
+        shares_by_service due = state_->origins().defaults_due(core_.now());
+        if (done && proposal_is_ready()) {
+            due.insert(proposal_->shares.begin(), proposal_->shares.end());
+            proposal_->written = true;
+        }
         if (!done || due.empty() || restores != restores_) {
             end(done);
             return;
         }
-        wire::stream_origins message;
-        for (const auto& [service, version] : due) {
-            versions[service] = version;
-        }
-        for (const auto& [service, version] : versions) {
-            wire::default_version& row = *message.add_defaults();
-            row.set_service(service);
-            row.set_version(version);
+        for (const auto& [service, shares] : due) {
+            versions.insert_or_assign(service, shares);
         }
+        wire::stream_origins message;
+        add_shares(versions, 0ms, *message.mutable_defaults());
         const std::uint64_t at = *defaults_log_end_;
-        hooks_.archive_defaults(message, at, [this, end, message, at, restores](bool confirmed) {
-            if (confirmed && restores == restores_) {
-                defaults_log_end_ = at + 1;
-                on_defaults_archived(message);
-            }
-            end(confirmed);
-        });
+        hooks_.archive_defaults(message, at,
+                                [this, end, message, at, restores](log_append_status status) {
+                                    const bool confirmed = status == log_append_status::confirmed;
+                                    if (confirmed && restores == restores_) {
+                                        defaults_log_end_ = at + 1;
+                                        on_defaults_archived(message);
+                                    }
+                                    if (proposal_ && status == log_append_status::refused) {
+                                        withdraw_proposal();
+                                    }
+                                    end(confirmed);
+                                });
     });
 }
 
@@ -634,8 +826,12 @@
 {
     const millis now = core_.now();
     defaults_read_at_ = now;
-    for (const wire::default_version& row : defaults.defaults()) {
-        state_->set_default_version(row.service(), row.version(), now);
+    const shares_by_service shares = shares_of(defaults.defaults());
+    for (const auto& [service, versions] : shares) {
+        state_->set_default_versions(service, versions, now);
+    }
+    if (proposal_ && contains(shares, proposal_->shares)) {
+        proposal_.reset();
     }
     broadcast_defaults();
 }
@@ -656,29 +852,31 @@
         return;
     }
     const millis age = core_.now() - *defaults_read_at_;
-    for (const auto& [service, version] : state_->origins().default_versions()) {
-        wire::default_version& row = *message.add_defaults();
-        row.set_service(service);
-        row.set_version(version);
-        row.set_age_ms(static_cast<std::uint32_t>(age.count()));
-    }
+    add_shares(state_->origins().default_versions(), age, *message.mutable_defaults());
 }
 
 void origin_exchange::take_defaults(const wire::stream_origins& from)
 {
-    for (const wire::default_version& row : from.defaults()) {
-        const millis read_at = core_.now() - millis(row.age_ms());
-        state_->set_default_version(row.service(), row.version(), read_at);
-        defaults_read_at_ = std::max(defaults_read_at_.value_or(read_at), read_at);
+    if (from.defaults().empty()) {
+        return;
     }
+    const millis read_at = core_.now() - millis(from.defaults(0).age_ms());
+    for (const auto& [service, shares] : shares_of(from.defaults())) {
+        state_->set_default_versions(service, shares, read_at);
+    }
+    defaults_read_at_ = std::max(defaults_read_at_.value_or(read_at), read_at);
 }
 
 nlohmann::json origin_exchange::describe() const
 {
+    nlohmann::json versions = nlohmann::json::object();
+    for (const auto& [service, shares] : state_->origins().default_versions()) {
+        versions[service] = shares.text();
+    }
     return {{"streams", state_->origins().size()},
             {"searches", searches_.size()},
             {"announcements", announcements_.size()},
-            {"default_versions", state_->origins().default_versions()}};
+            {"default_versions", versions}};
 }
 
 } // namespace cyclamen
--- a/Source/origin_exchange.h
+++ b/Source/origin_exchange.h
@@ -2,6 +2,7 @@
 
 #include "enum_names.h"
 #include "kernel.h"
+#include "log_follower.h"
 #include "service.h"
 #include "stream_origins.h"
 
@@ -13,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,6 +49,11 @@
     // any other does because it has not been told of them.
     millis defaults_interval = 10000ms;
     millis defaults_overdue = 20000ms;
+    // Time in which all entries have to accept proposed default versions.
+    millis proposal_timeout = 1000ms;
+    // Time without the loss of an entry after which nobody takes up a stream any more that a lost
+    // one began without a record: the retention and the lifetime of a default version.
+    millis calm_time = 90000ms;
 };
 
 /// Shares with the peers at which software version streams began, so that callers can take a stream
@@ -56,6 +63,7 @@
 class origin_exchange : public service {
 public:
     using on_done = std::function<void(bool done)>;
+    using on_append_end = std::function<void(log_append_status)>;
     using on_announced = std::function<void(bool archived)>;
     /// The archived default versions, and the offset of the archive's log at which they are in
     /// force.
@@ -74,13 +82,19 @@
         std::string key;
         wire::stream_origins batch;
     };
+    struct membership_state {
+        unsigned changes = 0;          // peers that were heard first or again, or fell silent
+        std::optional<millis> lost_at; // when one last fell silent, or had started again
+    };
     using on_archive_read_end = std::function<void(std::optional<std::vector<archived_record>>)>;
     struct hooks {
         /// Sends a message to the peers that hold the streams of all entries; returns the number
         /// of peers.
         std::function<std::size_t(const wire::stream_origins&)> send;
-        /// Sends a message to all peers.
-        std::function<void(const wire::stream_origins&)> broadcast;
+        /// Sends a message to all peers; returns their number.
+        std::function<std::size_t(const wire::stream_origins&)> broadcast;
+        /// How the peers that are heard have changed.
+        std::function<membership_state()> membership;
         /// Sends a message to the peer that `handle` named.
         std::function<void(const std::string& peer, const wire::stream_origins&)> send_to;
         /// Whether this entry archives the streams of all.
@@ -91,9 +105,8 @@
         std::function<void(on_archive_read_end)> read_archive;
         /// Removes records of processes that have ended.
         std::function<void(const std::vector<std::string>& keys)> remove_archived;
-        /// Replaces the archived default versions if the log still ends at `at`; passes on whether
-        /// that is confirmed.
-        std::function<void(const wire::stream_origins&, std::uint64_t at, on_done)>
+        /// Replaces the archived default versions if the log still ends at `at`.
+        std::function<void(const wire::stream_origins&, std::uint64_t at, on_append_end)>
             archive_defaults;
         /// Reads the archived default versions; passes nothing on if the store does not answer.
         std::function<void(on_defaults)> read_defaults;
@@ -153,6 +166,28 @@
     void end_search(std::uint64_t stream, const std::optional<std::string>& version);
     void merge(const wire::stream_origins& batch, bool archived);
 
+    // Default versions that all entries have to know before they are archived.
+    struct proposal {
+        std::uint64_t number = 0;
+        std::map<std::string, version_shares> shares; // by service
+        std::size_t asked = 0;                        // number of peers
+        std::set<std::uint64_t> accepted;             // incarnations of peers
+        std::set<std::uint64_t> streams;              // that have to be archived before
+        unsigned membership = 0;                      // number of changes at the beginning
+        millis since{0};
+        bool written = false; // perhaps: a write was tried
+    };
+
+    std::map<std::string, version_shares> shares_due() const;
+    bool streams_are_known(const std::string& service) const;
+    void propose_shares(std::map<std::string, version_shares> shares);
+    void accept_proposal(const wire::stream_origins& message, wire::stream_origins& reply);
+    void note_acceptance(const wire::stream_origins& message);
+    bool proposal_is_ready() const;
+    void check_proposal();
+    void end_old_proposal();
+    void withdraw_proposal();
+
     void maintain_defaults();
     void read_defaults(on_done on_end);
     void on_defaults_read(millis asked_at, const std::optional<defaults_reading>& reading);
@@ -189,10 +224,16 @@
     millis defaults_failed_at_{-1000000}; // initially long past
     std::optional<millis> defaults_read_at_;
     std::optional<std::uint64_t> defaults_log_end_; // of the latest reading by this entry
+    // Services of which the archive held default versions when this process first read them.
+    std::optional<std::set<std::string>> first_reading_;
+    std::optional<proposal> proposal_;
+    std::uint64_t proposals_ = 0;  // so far
+    millis proposed_at_{-1000000}; // initially long past
     bool share_due_ = false;
     kernel::timer share_timer_;
     kernel::timer archive_timer_;
     kernel::timer defaults_timer_;
+    kernel::timer version_timer_;
 };
 
 } // namespace cyclamen
--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -277,13 +277,16 @@
     return receivers;
 }
 
-void peer_gossip::broadcast_origins(const wire::stream_origins& message)
+std::size_t peer_gossip::broadcast_origins(const wire::stream_origins& message)
 {
+    std::size_t receivers = 0;
     for (const auto& [address, row] : peers_) {
         if (core_.now() - row.last_seen < silence_limit()) {
+            ++receivers;
             send_origins_to(address, message);
         }
     }
+    return receivers;
 }
 
 void peer_gossip::send_origins_to(const std::string& peer, const wire::stream_origins& message)
@@ -518,7 +521,12 @@
         core_.now() - from.last_seen >= silence_limit() || from.incarnation != digest.incarnation();
     if (joined) {
         send_crash_evidence(from, 0, max_suspects);
+        ++membership_.changes;
+    }
+    if (joined && from.incarnation != 0) {
+        membership_.lost_at = core_.now();
     }
+    from.lost = false;
     from.incarnation = digest.incarnation();
     from.sequence = digest.sequence();
     from.last_seen = core_.now();
@@ -579,8 +587,13 @@
     const millis now = core_.now();
     records_->sweep();
     std::vector<std::string> expired;
-    for (const auto& [address, row] : peers_) {
+    for (auto& [address, row] : peers_) {
         const millis silence = now - row.last_seen;
+        const bool silent = row.incarnation != 0 && silence >= silence_limit();
+        if (silent && !std::exchange(row.lost, true)) {
+            ++membership_.changes;
+            membership_.lost_at = now;
+        }
         if (silence >= counts_lifetime() && state_->backends().set_peer_in_flight(address, {})) {
             log_event(event_id::peer_silent, "peer={} silent_ms={} entries={}", address,
                       silence.count(), entries());
--- a/Source/peer_gossip.h
+++ b/Source/peer_gossip.h
@@ -3,6 +3,7 @@
 #include "kernel.h"
 #include "message_socket.h"
 #include "net_address.h"
+#include "origin_exchange.h"
 #include "prefix_locations.h"
 #include "record_exchange.h"
 #include "record_mirror.h"
@@ -118,8 +119,10 @@
     /// all peers, or the log readers if there are many peers.  A question also goes to some that
     /// know streams which the archive may lack.  Returns the number of receivers.
     std::size_t send_origins(const wire::stream_origins& message);
-    /// Sends a message about streams to all peers that are heard.
-    void broadcast_origins(const wire::stream_origins& message);
+    /// Sends a message about streams to all peers that are heard; returns their number.
+    std::size_t broadcast_origins(const wire::stream_origins& message);
+    /// How the peers that are heard have changed.
+    const origin_exchange::membership_state& membership() const { return membership_; }
     /// Sends a message about streams to the peer with this address, if it is known.
     void send_origins_to(const std::string& peer, const wire::stream_origins& message);
     /// Called when a peer has started, or was silent, at a few of the entries that hear it.
@@ -150,6 +153,7 @@
         std::uint64_t incarnation = 0; // of the peer's process, from its latest digest
         std::uint64_t sequence = 0;    // of the latest digest received from the peer
         millis last_seen{0};
+        bool lost = false;                   // it was heard before, and is silent now
         bool unarchived_origins = false;     // it knows streams that the archive may lack
         bool source_available = false;       // whether the log service answers the peer's own reads
         bool earlier_era = false;            // a log of the peer is of an earlier era than here
@@ -193,6 +197,7 @@
     std::unique_ptr<record_exchange> records_;
     std::uint64_t sequence_ = 0;
     millis peers_changed_at_{0};
+    origin_exchange::membership_state membership_;
     kernel::timer send_timer_;
     kernel::timer sweep_timer_;
 };
--- a/Source/relay_exchange.cpp
+++ b/Source/relay_exchange.cpp
@@ -270,7 +270,7 @@
         criteria.versions = stream_version_ ? rollouts->stream_filter(service_, *stream_version_)
                                             : rollouts->filter(service_, route_->name);
     }
-    criteria.preferred_version = preferred_version();
+    criteria.unrecorded_version = unrecorded_version();
     const auto choose = [&] {
         return context_.chooser.choose(context_.state.backends(), service, criteria,
                                        context_.core.now());
@@ -315,7 +315,9 @@
 {
     if (choice.reason == no_server_of_version) {
         log_event(event_id::request_refused, "request={} reason={} software={} stream={:016x}",
-                  metadata_.id, choice.reason, *stream_version_, stream_id());
+                  metadata_.id, choice.reason,
+                  stream_version_ ? *stream_version_ : unrecorded_version().value_or(""),
+                  stream_id());
         give_up(std::string(choice.reason));
         return;
     }
@@ -467,7 +469,7 @@
     if (!std::exchange(origin_untold_, false)) {
         return;
     }
-    if (!archived && restart_at_preferred_version()) {
+    if (!archived && begin_again_unrecorded()) {
         return;
     }
     send_untold_head();
@@ -484,40 +486,44 @@
     }
 }
 
-// The version at which a stream that has not begun should begin, if it matters.  An order of a
-// roll-out decides otherwise.
-std::optional<std::string> relay_exchange::preferred_version() const
+// The only version at which a stream that has not begun can begin.  An order of a roll-out decides
+// otherwise.
+std::optional<std::string> relay_exchange::unrecorded_version() const
 {
     const bool ordered = context_.rollouts != nullptr &&
                          context_.rollouts->filter(service_, route_->name).has_value();
     return stream_version_ || !records_origin() || ordered
                ? std::nullopt
-               : context_.state.preferred_version(service_);
+               : context_.state.unrecorded_version(service_, stream_id());
 }
 
 // The archive can't record a start at this version, and the caller has nothing of the response yet:
-// a stream that begins at the default version needs no record.
-bool relay_exchange::restart_at_preferred_version()
+// the stream begins again where it needs no record, or fails.  Otherwise it could go on at another
+// version once all entries have ended.
+bool relay_exchange::begin_again_unrecorded()
 {
     const bool whole = untold_end_ == http_call_result::complete;
-    if (response_head_sent_ || failure_ || whole || last_look_ || connection_ == nullptr) {
-        return false;
-    }
-    const std::optional<std::string> preferred = preferred_version();
-    if (!preferred || *preferred == software_version_ ||
-        !backend_chooser::has_room(context_.state.backends(), make_criteria(), *preferred,
-                                   context_.core.now()) ||
-        !attempts_->take_restart()) {
+    const std::optional<std::string> version = unrecorded_version();
+    if (response_head_sent_ || failure_ || whole || last_look_ || !version ||
+        *version == software_version_) {
         return false;
     }
+    const bool again = backend_chooser::has_server(context_.state.backends(), make_criteria(),
+                                                   *version, context_.core.now()) &&
+                       attempts_->take_restart();
     log_event(event_id::stream_restarted,
-              "request={} stream={:016x} service={} software={} preferred={} after_ms={}",
-              metadata_.id, stream_id(), service_, software_version_, *preferred,
+              "request={} stream={:016x} service={} software={} unrecorded={} again={} after_ms={}",
+              metadata_.id, stream_id(), service_, software_version_, *version, again,
               (context_.core.now() - sent_at_).count());
-    ++context_.core.metrics().named("streams_restarted");
+    ++context_.core.metrics().named(again ? "streams_restarted" : "streams_unrecorded");
     end_attempt(attempt_end::given_up, "archive_away");
     release_call(true);
-    attempt();
+    if (again) {
+        attempt();
+    }
+    else {
+        refuse(bad_gateway, "not_recorded");
+    }
     return true;
 }
 
--- a/Source/relay_exchange.h
+++ b/Source/relay_exchange.h
@@ -103,7 +103,7 @@
     void send(const backend_choice& choice);
     void announce_origin();
     void on_origin_told(bool archived);
-    bool restart_at_preferred_version();
+    bool begin_again_unrecorded();
     void send_untold_head();
     bool on_response_head(const http_head& head);
     void end_trial(bool accepted);
@@ -144,7 +144,7 @@
     std::uint64_t placement_segment() const;
     std::uint64_t stream_id() const;
     bool records_origin() const;
-    std::optional<std::string> preferred_version() const;
+    std::optional<std::string> unrecorded_version() const;
     unsigned shared_tokens() const;
 
     relay_context context_;
--- a/Source/relay_state.cpp
+++ b/Source/relay_state.cpp
@@ -63,16 +63,16 @@
     return origins_.others_served(service, version, core_.now());
 }
 
-void relay_state::set_default_version(const std::string& service, const std::string& version,
-                                      millis read_at)
+void relay_state::set_default_versions(const std::string& service, const version_shares& shares,
+                                       millis read_at)
 {
-    const std::map<std::string, std::string> before = origins_.default_versions();
-    origins_.set_default(service, version, read_at);
-    const std::string now = origins_.default_versions().at(service);
+    const std::map<std::string, version_shares> before = origins_.default_versions();
+    origins_.set_defaults(service, shares, read_at);
+    const version_shares now = origins_.default_versions().at(service);
     const auto found = before.find(service);
     if (found == before.end() || found->second != now) {
         log_event(event_id::default_version_set, "service={} software={} before={} age_ms={}",
-                  service, now, found == before.end() ? "?" : found->second,
+                  service, now.text(), found == before.end() ? "?" : found->second.text(),
                   (core_.now() - read_at).count());
     }
 }
@@ -95,9 +95,22 @@
            confirmed_at_ <= archive_failed_at_ || source_age() > archive_silence;
 }
 
-std::optional<std::string> relay_state::preferred_version(const std::string& service) const
+std::optional<std::string> relay_state::unrecorded_version(const std::string& service,
+                                                           std::uint64_t stream) const
 {
-    return archive_doubtful() ? origins_.last_default_version(service) : std::nullopt;
+    return archive_doubtful() ? origins_.last_default_version(service, stream, core_.now())
+                              : std::nullopt;
+}
+
+std::map<std::string, std::map<std::string, std::uint32_t>> relay_state::slots_by_version() const
+{
+    std::map<std::string, std::map<std::string, std::uint32_t>> slots;
+    for (const auto& [id, server] : backends_.all()) {
+        if (!server->entry.draining && !server->missing) {
+            slots[server->entry.service][server->entry.software_version] += server->entry.slots;
+        }
+    }
+    return slots;
 }
 
 void relay_state::find_origin(std::uint64_t stream, const std::string& service,
@@ -156,6 +169,10 @@
                   entry.id, entry.service, entry.software_version, entry.zone, entry.address.text(),
                   entry.draining, entry.cold_for.count(), entry.started_at, entry.sequence);
     }
+    if (changed && on_version_without_share &&
+        !origins_.has_share(entry.service, entry.software_version)) {
+        on_version_without_share();
+    }
 }
 
 void relay_state::backend_leaves(const std::string& id, std::uint64_t incarnation)
--- a/Source/relay_state.h
+++ b/Source/relay_state.h
@@ -104,14 +104,28 @@
     {
         return origins_.find(stream, service, core_.now());
     }
-    /// The version at which the streams of the service began that have no record; empty if it is
-    /// not known for certain.
+    /// The version at which the stream began if it has no record; empty if that is not known for
+    /// certain.
+    std::optional<std::string> default_version(const std::string& service,
+                                               std::uint64_t stream) const
+    {
+        return origins_.default_version(service, stream, core_.now());
+    }
+    /// The same of all streams; also empty if several versions share them.
     std::optional<std::string> default_version(const std::string& service) const
     {
-        return origins_.default_version(service, core_.now());
+        return origins_.only_default_version(service, core_.now());
+    }
+    void set_default_versions(const std::string& service, const version_shares& shares,
+                              millis read_at);
+    void set_default_version(const std::string& service, const std::string& version, millis read_at)
+    {
+        set_default_versions(service, version_shares({{.version = version}}), read_at);
     }
-    void set_default_version(const std::string& service, const std::string& version,
-                             millis read_at);
+    /// Slots of the listed servers of each version that do not leave, by service and version.
+    std::map<std::string, std::map<std::string, std::uint32_t>> slots_by_version() const;
+    /// Called when a server of a version is listed that has no share of its service's streams.
+    std::function<void()> on_version_without_share;
     /// Whether servers of another version have served lately.
     bool others_served(const std::string& service, const std::string& version);
     /// Records that values of the list of backend servers were skipped, so that servers may have
@@ -129,9 +143,12 @@
         announce_origin;
     /// Reports that the archive did not confirm in time where a stream began.
     void archive_failed() { archive_failed_at_ = core_.now(); }
-    /// The software version at which streams of the service should begin as long as its servers
-    /// have room: the default version, while the archive may not be able to record others.
-    std::optional<std::string> preferred_version(const std::string& service) const;
+    /// Whether the archive may not be able to record where streams begin.
+    bool archive_doubtful() const;
+    /// The only software version at which the stream may begin, because the archive may not be able
+    /// to record another; empty text if there is none.  Unset if it may begin at any.
+    std::optional<std::string> unrecorded_version(const std::string& service,
+                                                  std::uint64_t stream) const;
     /// Finds the software version at which a stream of the service began; passes on none if it
     /// can't be known.  May call back at once.
     void find_origin(std::uint64_t stream, const std::string& service,
@@ -219,7 +236,6 @@
     void mark_source_lost(const std::string& why);
     void mark_source_regained();
     void set_confirmed(millis at);
-    bool archive_doubtful() const;
 
     kernel& core_;
     relay_state_options options_;
--- a/Source/stream_origins.cpp
+++ b/Source/stream_origins.cpp
@@ -1,6 +1,7 @@
 #include "stream_origins.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cyclamen {
@@ -34,10 +35,9 @@
     const bool unknown_to_others = known == streams_.end() || known->second.told == news::needless;
     const bool in_archive = known != streams_.end() && known->second.archived;
     // Without the archive, a stream at the default version has the record that a reader assumes.
-    const bool assumed =
-        archive_doubtful && !in_archive && last_default_version(origin.service) == origin.version;
-    const bool needless =
-        unknown_to_others && begins_unrecorded(origin.service, origin.version, now);
+    const bool assumed = archive_doubtful && !in_archive &&
+                         last_default_version(origin.service, origin.stream, now) == origin.version;
+    const bool needless = unknown_to_others && begins_unrecorded(origin, now);
     const news told = needless ? news::needless : assumed ? news::told : news::due;
     const bool changed = put(origin, told, now);
     if (changed && !needless) {
@@ -82,6 +82,12 @@
     }
 }
 
+bool stream_origins::is_archived(std::uint64_t stream) const
+{
+    const auto found = streams_.find(stream);
+    return found != streams_.end() && found->second.archived;
+}
+
 std::optional<stream_origin> stream_origins::find_unarchived(std::uint64_t stream) const
 {
     const auto found = streams_.find(stream);
@@ -146,7 +152,7 @@
     const auto found = defaults_.find(service);
     // An entry that has not seen the version for so long may be about to replace it as default.
     if (now - last >= options_.retention / 2 && found != defaults_.end() &&
-        found->second.version == version) {
+        found->second.shares.contains(version)) {
         found->second.read_at.reset();
     }
     last = std::max(last, now);
@@ -167,73 +173,113 @@
     ++gaps_;
     // Servers of the default version may have begun streams without a record meanwhile.
     for (const auto& [service, entry] : defaults_) {
-        versions_[service][entry.version] = now;
+        for (const version_share& row : entry.shares.rows()) {
+            versions_[service][row.version] = now;
+        }
     }
 }
 
-void stream_origins::set_default(const std::string& service, const std::string& version,
-                                 millis read_at)
+void stream_origins::set_defaults(const std::string& service, const version_shares& shares,
+                                  millis read_at)
 {
-    const auto [known, added] = defaults_.try_emplace(service);
+    const auto [known, added] =
+        defaults_.try_emplace(service, default_entry{.shares = shares, .read_at = read_at});
     default_entry& entry = known->second;
     if (!added && entry.read_at.value_or(read_at) > read_at) {
         return;
     }
-    if (added || entry.version != version) {
-        entry = {.version = version, .read_at = read_at};
+    if (added || entry.shares != shares) {
+        entry.shares = shares;
         // Its servers may have left at any time before.
-        versions_[service].try_emplace(version, read_at);
+        for (const version_share& row : shares.rows()) {
+            versions_[service].try_emplace(row.version, read_at);
+        }
     }
     entry.read_at = read_at;
     entry.archived = true;
+    std::erase_if(proposed_, [&](const proposed_shares& row) {
+        return row.service == service && row.shares == shares && row.at <= read_at;
+    });
 }
 
 void stream_origins::defaults_lost()
 {
+    proposed_.clear();
     for (auto& [service, entry] : defaults_) {
         entry.archived = false;
         entry.read_at.reset();
     }
 }
 
-std::map<std::string, std::string> stream_origins::default_versions() const
+std::map<std::string, version_shares> stream_origins::default_versions() const
 {
-    std::map<std::string, std::string> result;
+    std::map<std::string, version_shares> result;
     for (const auto& [service, entry] : defaults_) {
-        result[service] = entry.version;
+        result.emplace(service, entry.shares);
     }
     return result;
 }
 
-std::optional<std::string> stream_origins::last_default_version(const std::string& service) const
+bool stream_origins::has_share(const std::string& service, const std::string& version) const
 {
     const auto found = defaults_.find(service);
-    return found == defaults_.end() ? std::nullopt : std::optional(found->second.version);
+    return found != defaults_.end() && found->second.shares.contains(version);
+}
+
+// Whether the stream stays at the version whichever of the proposed shares are archived.
+bool stream_origins::proposals_assign(const std::string& service, std::uint64_t stream,
+                                      const std::string& version, millis now) const
+{
+    return std::all_of(proposed_.begin(), proposed_.end(), [&](const proposed_shares& row) {
+        return row.service != service || now - row.at >= options_.default_lifetime ||
+               row.shares.version_of(stream) == version;
+    });
+}
+
+std::optional<std::string> stream_origins::last_default_version(const std::string& service,
+                                                                std::uint64_t stream,
+                                                                millis now) const
+{
+    const auto found = defaults_.find(service);
+    if (found == defaults_.end()) {
+        return std::nullopt;
+    }
+    const std::string& version = found->second.shares.version_of(stream);
+    return proposals_assign(service, stream, version, now) ? version : std::string();
 }
 
 std::optional<std::string> stream_origins::default_version(const std::string& service,
-                                                           millis now) const
+                                                           std::uint64_t stream, millis now) const
 {
     const auto found = defaults_.find(service);
     if (found == defaults_.end() || !found->second.read_at ||
         now - *found->second.read_at >= options_.default_lifetime) {
         return std::nullopt;
     }
-    return found->second.version;
+    return found->second.shares.version_of(stream);
+}
+
+std::optional<std::string> stream_origins::only_default_version(const std::string& service,
+                                                                millis now) const
+{
+    const auto found = defaults_.find(service);
+    return found != defaults_.end() && found->second.shares.single()
+               ? default_version(service, 0, now)
+               : std::nullopt;
 }
 
-bool stream_origins::begins_unrecorded(const std::string& service, const std::string& version,
-                                       millis now) const
+bool stream_origins::begins_unrecorded(const stream_origin& origin, millis now) const
 {
-    return default_version(service, now) == version;
+    return default_version(origin.service, origin.stream, now) == origin.version &&
+           proposals_assign(origin.service, origin.stream, origin.version, now);
 }
 
-std::map<std::string, std::string> stream_origins::defaults_due(millis now) const
+std::map<std::string, version_shares> stream_origins::defaults_due(millis now) const
 {
-    std::map<std::string, std::string> due;
+    std::map<std::string, version_shares> due;
     for (const auto& [service, entry] : defaults_) {
         if (!entry.archived) {
-            due[service] = entry.version;
+            due.emplace(service, entry.shares);
         }
     }
     for (const auto& [service, versions] : versions_) {
@@ -245,13 +291,77 @@
         }
         const auto found = defaults_.find(service);
         if (recent.size() == 1 &&
-            (found == defaults_.end() || found->second.version != recent.front())) {
-            due[service] = recent.front();
+            (found == defaults_.end() || found->second.shares.single() != recent.front())) {
+            due.insert_or_assign(service, version_shares({{.version = recent.front()}}));
         }
     }
     return due;
 }
 
+std::optional<version_shares>
+stream_origins::shares_due(const std::string& service,
+                           const std::map<std::string, std::uint32_t>& slots, millis now) const
+{
+    const auto found = defaults_.find(service);
+    const auto versions = versions_.find(service);
+    if (found == defaults_.end() || versions == versions_.end() || slots.empty()) {
+        return std::nullopt;
+    }
+    const version_shares& present = found->second.shares;
+    std::vector<version_share> rows;
+    for (const auto& [version, count] : slots) {
+        rows.push_back({.version = version, .weight = std::max(1U, count)});
+    }
+    // A version without listed servers keeps its streams for as long as callers may return.
+    for (const version_share& row : present.rows()) {
+        const auto seen = versions->second.find(row.version);
+        const bool recent =
+            seen != versions->second.end() && now - seen->second < options_.retention;
+        if (!slots.contains(row.version) && recent) {
+            rows.push_back(row);
+        }
+    }
+    const version_shares wanted(std::move(rows));
+    if (wanted.rows().size() == 1) {
+        return std::nullopt; // see `defaults_due`
+    }
+    const auto differs = [&](const version_share& row) {
+        return !present.contains(row.version) || !wanted.contains(row.version) ||
+               std::abs(present.part_of(row.version) - wanted.part_of(row.version)) >
+                   options_.shares_tolerance;
+    };
+    const bool due = std::any_of(wanted.rows().begin(), wanted.rows().end(), differs) ||
+                     std::any_of(present.rows().begin(), present.rows().end(), differs);
+    return due ? std::optional(wanted) : std::nullopt;
+}
+
+std::vector<stream_origin> stream_origins::propose(std::uint64_t proposal,
+                                                   const std::string& service,
+                                                   const version_shares& shares, millis now)
+{
+    std::erase_if(proposed_, [&](const proposed_shares& row) {
+        return now - row.at >= options_.default_lifetime;
+    });
+    proposed_.push_back({.proposal = proposal, .service = service, .shares = shares, .at = now});
+    std::vector<stream_origin> moved;
+    for (auto& [id, known] : streams_) {
+        if (known.origin.service != service || known.told != news::needless ||
+            now - known.used_at >= options_.retention ||
+            shares.version_of(id) == known.origin.version) {
+            continue;
+        }
+        known.told = news::told;
+        unarchived_.push_back(id);
+        moved.push_back(known.origin);
+    }
+    return moved;
+}
+
+void stream_origins::withdraw_proposal(std::uint64_t proposal)
+{
+    std::erase_if(proposed_, [&](const proposed_shares& row) { return row.proposal == proposal; });
+}
+
 std::vector<stream_origin> stream_origins::take(std::vector<std::uint64_t>& pending) const
 {
     std::vector<stream_origin> taken;
