Take ports that outgoing connections can't in the tests of peers

two_entries.tell_whether_the_store_served_while_the_other_was_cut_off failed once with "Address already in use" beside trials that opened hundreds of connections. free_address took a free port of 127.0.0.1 and gave it back until the second entry started half a second later; it comes from the range of outgoing connections, which are bound to 127.0.0.1. The tests now listen on 127.0.0.2.

--- a/Tests/Relay/peer_gossip_test.cpp
+++ b/Tests/Relay/peer_gossip_test.cpp
@@ -23,13 +23,13 @@
     const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK + 1); // outgoing connections use 127.0.0.1
     socklen_t length = sizeof address;
     const bool bound = bind(descriptor, reinterpret_cast<sockaddr*>(&address), length) == 0 &&
                        getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &length) == 0;
     EXPECT_TRUE(bound);
     ::close(descriptor);
-    return {.host = "127.0.0.1", .port = ntohs(address.sin_port)};
+    return {.host = "127.0.0.2", .port = ntohs(address.sin_port)};
 }
 
 // An entry that knows one backend server.
