Adopt shares of versions in spite of a grown log, and when a version leaves

The write is now tried again after another reading, three times at most.

By reading: a peer that was out of reach and is heard again as the same process has lost nothing, so that it no longer stops changes for 90 s; entries whose source is lost make no proposals; and a version that leaves loses its share at once, so that an outage right after a release does not refuse the streams of a version without servers. As more streams may need a record at once, each write takes 4,096 of them at most.

Tests: shares_the_streams_although_the_log_has_grown, moves_the_streams_when_the_other_version_leaves, archives_many_streams_in_several_records, tell_when_the_other_may_have_lost_what_it_knew.

--- a/Source/origin_exchange.cpp
+++ b/Source/origin_exchange.cpp
@@ -220,11 +220,17 @@
     if (archive_busy_ || core_.now() < archive_due_at_ || !hooks_.is_archiver()) {
         return;
     }
-    const std::vector<stream_origin> streams = state_->origins().take_unarchived();
+    std::vector<stream_origin> streams = state_->origins().take_unarchived();
     if (streams.empty()) {
         return;
     }
-    if (core_.now() - record_began_at_ >= options_.archive_slot) {
+    if (streams.size() > max_streams_per_message) {
+        const auto rest = streams.begin() + max_streams_per_message;
+        state_->origins().archive_failed({rest, streams.end()}); // for the next write
+        streams.erase(rest, streams.end());
+    }
+    const bool full = static_cast<std::size_t>(batch_.origins_size()) >= max_streams_per_message;
+    if (full || core_.now() - record_began_at_ >= options_.archive_slot) {
         ++record_;
         record_began_at_ = core_.now();
         batch_.Clear();
@@ -620,7 +626,7 @@
 {
     shares_by_service due;
     for (const auto& [service, slots] : state_->slots_by_version()) {
-        const auto shares = state_->origins().shares_due(service, slots, core_.now());
+        const auto shares = state_->origins().shares_due(service, slots);
         if (shares && streams_are_known(service)) {
             due.emplace(service, *shares);
         }
@@ -642,7 +648,7 @@
 // which of their present streams do.
 void origin_exchange::propose_shares(shares_by_service shares)
 {
-    if (shares.empty() || state_->archive_doubtful()) {
+    if (shares.empty() || state_->archive_doubtful() || state_->source_lost()) {
         return;
     }
     proposed_at_ = core_.now();
@@ -726,6 +732,28 @@
     }
 }
 
+// Another record of the log may have come first: the list of entries is in the same log.
+void origin_exchange::archive_proposal_again()
+{
+    constexpr unsigned max_writes = 3;
+    proposal_->written = false;
+    if (proposal_->writes >= max_writes) {
+        withdraw_proposal();
+        end_defaults_write(false);
+        return;
+    }
+    defaults_busy_ = false;
+    defaults_log_end_.reset();
+    read_defaults([this](bool done) {
+        if (proposal_ && !done) {
+            withdraw_proposal();
+        }
+        if (proposal_) {
+            maintain_defaults();
+        }
+    });
+}
+
 void origin_exchange::withdraw_proposal()
 {
     log_event(event_id::default_versions_withdrawn, "accepted={} peers={} written={}",
@@ -779,49 +807,58 @@
 void origin_exchange::archive_due_defaults()
 {
     defaults_busy_ = true;
-    const auto end = [this](bool done) {
-        defaults_busy_ = false;
-        if (!done) {
-            defaults_failed_at_ = core_.now();
-            defaults_log_end_.reset(); // another entry may have written
-        }
-        if (!defaults_wanted_.empty()) {
-            read_defaults([](bool /*done*/) {});
-        }
-    };
-    hooks_.read_servers([this, end, restores = restores_](bool done) {
+    hooks_.read_servers([this, restores = restores_](bool done) {
         state_->note_versions();
-        shares_by_service versions = state_->origins().default_versions();
         shares_by_service due = state_->origins().defaults_due(core_.now());
         if (done && proposal_is_ready()) {
             due.insert(proposal_->shares.begin(), proposal_->shares.end());
             proposal_->written = true;
+            ++proposal_->writes;
         }
         if (!done || due.empty() || restores != restores_) {
-            end(done);
+            end_defaults_write(done);
             return;
         }
-        for (const auto& [service, shares] : due) {
-            versions.insert_or_assign(service, shares);
-        }
-        wire::stream_origins message;
-        add_shares(versions, 0ms, *message.mutable_defaults());
-        const std::uint64_t at = *defaults_log_end_;
-        hooks_.archive_defaults(message, at,
-                                [this, end, message, at, restores](log_append_status status) {
-                                    const bool confirmed = status == log_append_status::confirmed;
-                                    if (confirmed && restores == restores_) {
-                                        defaults_log_end_ = at + 1;
-                                        on_defaults_archived(message);
-                                    }
-                                    if (proposal_ && status == log_append_status::refused) {
-                                        withdraw_proposal();
-                                    }
-                                    end(confirmed);
-                                });
+        archive_defaults(due);
     });
 }
 
+void origin_exchange::archive_defaults(const shares_by_service& due)
+{
+    shares_by_service versions = state_->origins().default_versions();
+    for (const auto& [service, shares] : due) {
+        versions.insert_or_assign(service, shares);
+    }
+    wire::stream_origins message;
+    add_shares(versions, 0ms, *message.mutable_defaults());
+    const std::uint64_t at = *defaults_log_end_;
+    const auto on_end = [this, message, at, restores = restores_](log_append_status status) {
+        const bool confirmed = status == log_append_status::confirmed;
+        if (confirmed && restores == restores_) {
+            defaults_log_end_ = at + 1;
+            on_defaults_archived(message);
+        }
+        if (proposal_ && status == log_append_status::refused) {
+            archive_proposal_again();
+            return;
+        }
+        end_defaults_write(confirmed);
+    };
+    hooks_.archive_defaults(message, at, on_end);
+}
+
+void origin_exchange::end_defaults_write(bool done)
+{
+    defaults_busy_ = false;
+    if (!done) {
+        defaults_failed_at_ = core_.now();
+        defaults_log_end_.reset(); // another entry may have written
+    }
+    if (!defaults_wanted_.empty()) {
+        read_defaults([](bool /*done*/) {});
+    }
+}
+
 void origin_exchange::on_defaults_archived(const wire::stream_origins& defaults)
 {
     const millis now = core_.now();
--- a/Source/origin_exchange.h
+++ b/Source/origin_exchange.h
@@ -176,6 +176,7 @@
         unsigned membership = 0;                      // number of changes at the beginning
         millis since{0};
         bool written = false; // perhaps: a write was tried
+        unsigned writes = 0;  // that were tried
     };
 
     std::map<std::string, version_shares> shares_due() const;
@@ -186,12 +187,15 @@
     bool proposal_is_ready() const;
     void check_proposal();
     void end_old_proposal();
+    void archive_proposal_again();
     void withdraw_proposal();
 
     void maintain_defaults();
     void read_defaults(on_done on_end);
     void on_defaults_read(millis asked_at, const std::optional<defaults_reading>& reading);
     void archive_due_defaults();
+    void archive_defaults(const std::map<std::string, version_shares>& due);
+    void end_defaults_write(bool done);
     void on_defaults_archived(const wire::stream_origins& defaults);
     void broadcast_defaults();
     void add_defaults(wire::stream_origins& message) const;
--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -35,6 +35,7 @@
 // Entries that tell a peer that has started what it has missed, and those that are asked for a
 // stream which the archive may lack: more than are likely to end together.
 constexpr unsigned joined_peer_tellers = 8;
+constexpr millis loss_retention{600000}; // nobody asks for earlier losses of peers
 constexpr std::size_t unarchived_holders_asked = 8;
 constexpr std::size_t max_limit_reports = 256;   // limited servers per digest; others are left out
 constexpr std::size_t max_leaving_reports = 256; // the same of servers that leave
@@ -289,6 +290,15 @@
     return receivers;
 }
 
+origin_exchange::membership_state peer_gossip::membership() const
+{
+    origin_exchange::membership_state state{.changes = membership_changes_};
+    for (const auto& [address, at] : lost_at_) {
+        state.lost_at = std::max(at, state.lost_at.value_or(at));
+    }
+    return state;
+}
+
 void peer_gossip::send_origins_to(const std::string& peer, const wire::stream_origins& message)
 {
     const auto found = peers_.find(peer);
@@ -521,10 +531,13 @@
         core_.now() - from.last_seen >= silence_limit() || from.incarnation != digest.incarnation();
     if (joined) {
         send_crash_evidence(from, 0, max_suspects);
-        ++membership_.changes;
+        ++membership_changes_;
+    }
+    if (joined && from.incarnation == digest.incarnation()) {
+        lost_at_.erase(digest.address()); // it was out of reach
     }
-    if (joined && from.incarnation != 0) {
-        membership_.lost_at = core_.now();
+    else if (joined && from.incarnation != 0) {
+        lost_at_[digest.address()] = core_.now();
     }
     from.lost = false;
     from.incarnation = digest.incarnation();
@@ -591,8 +604,8 @@
         const millis silence = now - row.last_seen;
         const bool silent = row.incarnation != 0 && silence >= silence_limit();
         if (silent && !std::exchange(row.lost, true)) {
-            ++membership_.changes;
-            membership_.lost_at = now;
+            ++membership_changes_;
+            lost_at_[address] = now;
         }
         if (silence >= counts_lifetime() && state_->backends().set_peer_in_flight(address, {})) {
             log_event(event_id::peer_silent, "peer={} silent_ms={} entries={}", address,
@@ -602,6 +615,7 @@
             expired.push_back(address);
         }
     }
+    std::erase_if(lost_at_, [now](const auto& row) { return now - row.second >= loss_retention; });
     for (const std::string& address : expired) {
         peers_.erase(address);
         peers_changed_at_ = core_.now();
--- a/Source/peer_gossip.h
+++ b/Source/peer_gossip.h
@@ -122,7 +122,7 @@
     /// Sends a message about streams to all peers that are heard; returns their number.
     std::size_t broadcast_origins(const wire::stream_origins& message);
     /// How the peers that are heard have changed.
-    const origin_exchange::membership_state& membership() const { return membership_; }
+    origin_exchange::membership_state membership() const;
     /// Sends a message about streams to the peer with this address, if it is known.
     void send_origins_to(const std::string& peer, const wire::stream_origins& message);
     /// Called when a peer has started, or was silent, at a few of the entries that hear it.
@@ -197,7 +197,8 @@
     std::unique_ptr<record_exchange> records_;
     std::uint64_t sequence_ = 0;
     millis peers_changed_at_{0};
-    origin_exchange::membership_state membership_;
+    unsigned membership_changes_ = 0;       // peers that were heard first or again, or fell silent
+    std::map<std::string, millis> lost_at_; // by address, of peers whose process may have ended
     kernel::timer send_timer_;
     kernel::timer sweep_timer_;
 };
--- a/Source/relay_state.h
+++ b/Source/relay_state.h
@@ -143,6 +143,8 @@
         announce_origin;
     /// Reports that the archive did not confirm in time where a stream began.
     void archive_failed() { archive_failed_at_ = core_.now(); }
+    /// Whether neither this entry's source nor that of a peer answers.
+    bool source_lost() const { return source_lost_; }
     /// Whether the archive may not be able to record where streams begin.
     bool archive_doubtful() const;
     /// The only software version at which the stream may begin, because the archive may not be able
--- a/Source/stream_origins.cpp
+++ b/Source/stream_origins.cpp
@@ -300,31 +300,19 @@
 
 std::optional<version_shares>
 stream_origins::shares_due(const std::string& service,
-                           const std::map<std::string, std::uint32_t>& slots, millis now) const
+                           const std::map<std::string, std::uint32_t>& slots) const
 {
     const auto found = defaults_.find(service);
-    const auto versions = versions_.find(service);
-    if (found == defaults_.end() || versions == versions_.end() || slots.empty()) {
+    if (found == defaults_.end() || slots.empty()) {
         return std::nullopt;
     }
-    const version_shares& present = found->second.shares;
     std::vector<version_share> rows;
+    rows.reserve(slots.size());
     for (const auto& [version, count] : slots) {
         rows.push_back({.version = version, .weight = std::max(1U, count)});
     }
-    // A version without listed servers keeps its streams for as long as callers may return.
-    for (const version_share& row : present.rows()) {
-        const auto seen = versions->second.find(row.version);
-        const bool recent =
-            seen != versions->second.end() && now - seen->second < options_.retention;
-        if (!slots.contains(row.version) && recent) {
-            rows.push_back(row);
-        }
-    }
+    const version_shares& present = found->second.shares;
     const version_shares wanted(std::move(rows));
-    if (wanted.rows().size() == 1) {
-        return std::nullopt; // see `defaults_due`
-    }
     const auto differs = [&](const version_share& row) {
         return !present.contains(row.version) || !wanted.contains(row.version) ||
                std::abs(present.part_of(row.version) - wanted.part_of(row.version)) >
--- a/Source/stream_origins.h
+++ b/Source/stream_origins.h
@@ -136,9 +136,8 @@
 
     /// Shares that the service should have by the slots of its listed servers, by version; empty if
     /// its present ones will do, or are unknown.
-    std::optional<version_shares> shares_due(const std::string& service,
-                                             const std::map<std::string, std::uint32_t>& slots,
-                                             millis now) const;
+    std::optional<version_shares>
+    shares_due(const std::string& service, const std::map<std::string, std::uint32_t>& slots) const;
     /// Takes new shares into account that may be archived from now on, under the number of their
     /// proposal.  Returns the streams of this entry that now need a record.
     std::vector<stream_origin> propose(std::uint64_t proposal, const std::string& service,
--- a/Tests/Relay/origin_exchange_test.cpp
+++ b/Tests/Relay/origin_exchange_test.cpp
@@ -58,6 +58,7 @@
                     },
                 .broadcast =
                     [this](const wire::stream_origins& message) {
+                        proposals += message.proposal() != 0 ? 1 : 0;
                         for (exchanging_entry* peer : peers) {
                             peer->replies.push_back(message);
                         }
@@ -222,6 +223,7 @@
     std::set<std::uint64_t> unarchived; // those of them that the archive did not confirm
     std::string last_key;               // of a record that was written, or not
     origin_exchange::membership_state membership;
+    unsigned proposals = 0; // that were sent, also those that were withdrawn
     bool archives = true;
     bool shares = true;                    // the peers hold the streams of all
     bool in_step = true;                   // the store answers reads of the list of servers
@@ -786,6 +788,17 @@
         first.list("s2", "v2");
     }
 
+    // A stream that moves to v2 if both versions share the streams equally.
+    static std::uint64_t moved_stream()
+    {
+        const version_shares halves({{.version = "v1"}, {.version = "v2"}});
+        std::uint64_t stream = 1000;
+        while (halves.version_of(stream) != "v2") {
+            ++stream;
+        }
+        return stream;
+    }
+
     bool both_share() const { return archive.defaults.defaults_size() == 2; }
 
     static constexpr std::uint64_t streams = 40;
@@ -828,6 +841,43 @@
     EXPECT_EQ(versions.size(), 2U);
 }
 
+// Guards against refusals of all new streams in an outage after the only default version has left.
+TEST_F(joining_version, moves_the_streams_when_the_other_version_leaves)
+{
+    join_v2();
+    ASSERT_TRUE(run_until([&] { return both_share(); }));
+    for (exchanging_entry* entry : {&second, &first}) {
+        entry->state.remove_backend("s1");
+    }
+    ASSERT_TRUE(run_until([&] { return first.state.default_version("shop") == "v2"; }));
+    exchanging_entry next(archive);
+    next.list("s2", "v2");
+    next.start();
+    for (std::uint64_t stream = 1; stream <= streams; ++stream) {
+        EXPECT_EQ(next.found(stream), "v1") << "it began there, and is recorded";
+    }
+    EXPECT_EQ(next.found(5000), "v2");
+}
+
+// Guards against a record that is too large for the store, and stops all further ones.
+TEST(origin_exchange, archives_many_streams_in_several_records)
+{
+    scripted_archive archive;
+    exchanging_entry entry(archive);
+    entry.list("s1", "v1");
+    entry.start();
+    constexpr std::uint64_t streams = 10000;
+    for (std::uint64_t stream = 1; stream <= streams; ++stream) {
+        entry.state.origins().merge({.stream = stream, .service = "shop", .version = "v2"},
+                                    entry.core.now());
+    }
+    EXPECT_TRUE(entry.run_until([&] { return entry.state.origins().is_archived(streams); }));
+    EXPECT_GE(archive.slots.size(), 2U);
+    for (const auto& [key, batch] : archive.slots) {
+        EXPECT_LE(batch.origins_size(), 8192);
+    }
+}
+
 // Streams of an entry that was lost, or that does not answer, may have no record.
 TEST_F(joining_version, does_not_share_the_streams_after_the_loss_of_an_entry)
 {
@@ -852,6 +902,16 @@
     ASSERT_TRUE(run_until([&] { return both_share(); })) << "a second proposal";
 }
 
+// The list of entries is in the same log, so that a write may come second.
+TEST_F(joining_version, shares_the_streams_although_the_log_has_grown)
+{
+    join_v2();
+    ++archive.defaults_end;
+    archive.failure = log_append_status::refused;
+    ASSERT_TRUE(run_until([&] { return both_share(); }));
+    EXPECT_EQ(first.proposals, 1U) << "it need not be withdrawn";
+}
+
 // Guards against refusals of new streams for half a minute after the store has refused the shares.
 TEST_F(joining_version, begins_streams_at_the_former_version_if_the_store_refuses_the_shares)
 {
@@ -859,6 +919,11 @@
     archive.failure = log_append_status::refused;
     join_v2();
     run_until([&] { return archive.failed_defaults > 0; });
+    archive.up = false;
+    run_until([&] {
+        return first.state.origins().last_default_version("shop", moved_stream(),
+                                                          first.core.now()) == "v1";
+    });
     second.handle_messages();
     for (exchanging_entry* entry : {&first, &second}) {
         entry->state.archive_failed();
--- a/Tests/Relay/peer_gossip_test.cpp
+++ b/Tests/Relay/peer_gossip_test.cpp
@@ -442,6 +442,21 @@
     EXPECT_LT(entries[1]->core.now() - regained_at, 2000ms); // DrainMs
 }
 
+// review/11: guards against a change of the default versions while streams of an entry that has
+// ended have no record.
+TEST_F(two_entries, tell_when_the_other_may_have_lost_what_it_knew)
+{
+    start(0);
+    const peer_gossip& here = entries[0]->gossip;
+    start(1);
+    ASSERT_TRUE(run_until([&] { return here.membership().changes == 1; }));
+    EXPECT_FALSE(here.membership().lost_at);
+    entries[1].reset();
+    ASSERT_TRUE(run_until([&] { return restarted(1); }));
+    ASSERT_TRUE(run_until([&] { return here.membership().changes > 1; }));
+    EXPECT_TRUE(here.membership().lost_at);
+}
+
 // review/8: guards against streams that are taken for those of the default version although an
 // entry beside the log readers knows better.
 TEST_F(two_entries, ask_those_that_know_streams_which_the_archive_may_lack)
