Archive no shares while a stream that they move was forgotten

Found by reading: an entry that archives remembers 65,536 streams. A moved stream that it had to forget before its record was confirmed counted as one that needs none, so that the shares could be archived without it.

--- a/Source/origin_exchange.cpp
+++ b/Source/origin_exchange.cpp
@@ -707,12 +707,12 @@
 // Whether no stream is left that would be taken for one of another version.
 bool origin_exchange::proposal_is_ready() const
 {
-    const auto needs_no_record = [this](std::uint64_t stream) {
-        return state_->origins().is_archived(stream) || !state_->origins().contains(stream);
+    const auto archived = [this](std::uint64_t stream) {
+        return state_->origins().is_archived(stream);
     };
     return proposal_ && proposal_->accepted.size() >= proposal_->asked &&
            hooks_.membership().changes == proposal_->membership &&
-           std::all_of(proposal_->streams.begin(), proposal_->streams.end(), needs_no_record);
+           std::all_of(proposal_->streams.begin(), proposal_->streams.end(), archived);
 }
 
 void origin_exchange::check_proposal()
