--- a/Source/origin_exchange.cpp
+++ b/Source/origin_exchange.cpp
@@ -710,7 +710,7 @@
     const auto archived = [this](std::uint64_t stream) {
         return state_->origins().is_archived(stream);
     };
-    return proposal_ && proposal_->accepted.size() >= proposal_->asked &&
+    return proposal_ && !proposal_is_old() && proposal_->accepted.size() >= proposal_->asked &&
            hooks_.membership().changes == proposal_->membership &&
            std::all_of(proposal_->streams.begin(), proposal_->streams.end(), archived);
 }
@@ -723,11 +723,16 @@
 }
 
 // A write that was not confirmed may be carried out for as long as the entries expect it.
+bool origin_exchange::proposal_is_old() const
+{
+    const millis lifetime =
+        proposal_->written ? stream_origins_options{}.default_lifetime : options_.proposal_timeout;
+    return core_.now() - proposal_->since >= lifetime;
+}
+
 void origin_exchange::end_old_proposal()
 {
-    if (proposal_ && core_.now() - proposal_->since >=
-                         (proposal_->written ? stream_origins_options{}.default_lifetime
-                                             : options_.proposal_timeout)) {
+    if (proposal_ && proposal_is_old()) {
         withdraw_proposal();
     }
 }
--- a/Source/origin_exchange.h
+++ b/Source/origin_exchange.h
@@ -186,6 +186,7 @@
     void note_acceptance(const wire::stream_origins& message);
     bool proposal_is_ready() const;
     void check_proposal();
+    bool proposal_is_old() const;
     void end_old_proposal();
     void archive_proposal_again();
     void withdraw_proposal();
--- a/Source/peer_gossip.cpp
+++ b/Source/peer_gossip.cpp
@@ -290,12 +290,24 @@
     return receivers;
 }
 
+// Whether the peer was heard before, and is silent now.
+bool peer_gossip::is_lost(const peer& row, millis now) const
+{
+    return row.incarnation != 0 && now - row.last_seen >= silence_limit();
+}
+
 origin_exchange::membership_state peer_gossip::membership() const
 {
     origin_exchange::membership_state state{.changes = membership_changes_};
     for (const auto& [address, at] : lost_at_) {
         state.lost_at = std::max(at, state.lost_at.value_or(at));
     }
+    // `sweep` has yet to notice those that have just fallen silent.
+    const millis now = core_.now();
+    if (std::any_of(peers_.begin(), peers_.end(),
+                    [&](const auto& row) { return is_lost(row.second, now); })) {
+        state.lost_at = now;
+    }
     return state;
 }
 
@@ -602,8 +614,7 @@
     std::vector<std::string> expired;
     for (auto& [address, row] : peers_) {
         const millis silence = now - row.last_seen;
-        const bool silent = row.incarnation != 0 && silence >= silence_limit();
-        if (silent && !std::exchange(row.lost, true)) {
+        if (is_lost(row, now) && !std::exchange(row.lost, true)) {
             ++membership_changes_;
             lost_at_[address] = now;
         }
--- a/Source/peer_gossip.h
+++ b/Source/peer_gossip.h
@@ -153,7 +153,7 @@
         std::uint64_t incarnation = 0; // of the peer's process, from its latest digest
         std::uint64_t sequence = 0;    // of the latest digest received from the peer
         millis last_seen{0};
-        bool lost = false;                   // it was heard before, and is silent now
+        bool lost = false;                   // `sweep` has noticed that it is silent
         bool unarchived_origins = false;     // it knows streams that the archive may lack
         bool source_available = false;       // whether the log service answers the peer's own reads
         bool earlier_era = false;            // a log of the peer is of an earlier era than here
@@ -184,6 +184,7 @@
     void sweep();
     millis counts_lifetime() const { return options_.counts_lifetime(peers_.size()); }
     millis silence_limit() const;
+    bool is_lost(const peer& row, millis now) const;
 
     kernel& core_;
     peer_gossip_options options_;
--- a/Tests/Relay/peer_gossip_test.cpp
+++ b/Tests/Relay/peer_gossip_test.cpp
@@ -457,6 +457,19 @@
     EXPECT_TRUE(here.membership().lost_at);
 }
 
+// Guards against an entry that takes the place of a silent one before it counts that as lost.
+TEST_F(two_entries, tell_of_a_silent_peer_as_soon_as_it_does_not_count_any_more)
+{
+    start(0);
+    start(1);
+    const peer_gossip& here = entries[0]->gossip;
+    ASSERT_TRUE(run_until([&] { return here.hears(addresses[1].text()); }));
+    EXPECT_FALSE(here.membership().lost_at);
+    entries[1].reset();
+    ASSERT_TRUE(run_until([&] { return !here.hears(addresses[1].text()); }));
+    EXPECT_TRUE(here.membership().lost_at);
+}
+
 // review/8: guards against streams that are taken for those of the default version although an
 // entry beside the log readers knows better.
 TEST_F(two_entries, ask_those_that_know_streams_which_the_archive_may_lack)
